--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,1014 @@
+//! All decisions of one server: what it takes, runs, turns away, calls below and tells its callers.
+//!
+//! How callers reach it: a server keeps one `Control`, made by `Control::new` from its parts. For each thing
+//! that happens it calls `rpc_read`, `caller_gone`, `run_ended`, `call_needed`, `call_ended`, `drain` or
+//! `woken`, and carries out the `Outcome` it gets back, list by list. That interface (ids, `Arrival`,
+//! `Outcome`) is defined in `types.rs`; the wire of the bench ends in `drill/`. After every input `RULES`,
+//! at the end of this file, are gone through in order until none fires. `docs/design.md` has the reasons.
+
+use crate::types::*;
+use nanorand::{Rng, WyRand};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Runs above the target before RPCs wait: the room between target_parallel_reqs and max_parallel_reqs.
+const HEADROOM: f64 = 1.25;
+/// Share of the crowd and of the memory that the server survives, of which we make use.
+const SAFE: f64 = 0.8;
+/// buf_limit over MRR, as a share of the shortest latency target: a burst of it still waits in good time.
+const BUF_SPAN: f64 = 0.5;
+/// A buffer holds at least this many of the dearest RPC, or a thin account could never take one.
+const BUF_RPCS: f64 = 2.0;
+/// Constant factor of congestion_penalty.
+const PENALTY: f64 = 0.25;
+/// First max_cost of a method, as a share of its latency target.
+const FIRST_COST: f64 = 0.2;
+/// RPCs that a method's learned cost remembers.
+const COST_MEMORY: f64 = 40.0;
+/// Serving times this far above base mean that the target is too high.
+const SLOW: f64 = 1.5;
+/// Below this share of busy cores they count as idle.
+const IDLE: f64 = 0.9;
+/// The target's rise and fall at each beat.
+const RISE: f64 = 1.1;
+const FALL: f64 = 0.95;
+/// Beats in the time that callers are counted as active.
+const BEATS: u64 = 10;
+/// Callers heard of within it share the target.
+const ACTIVE: Us = 1_000_000;
+/// Bound on calls in hand for each core where no share is told.
+const CALLS_PER_CORE: f64 = 3.0;
+/// Failures in a row that open the breaker; it tries again after this share of the shortest latency target.
+const FAILURES: u32 = 5;
+const BREAK: f64 = 0.5;
+/// Share of the time left that a call may take when it can be skipped afterwards.
+const CALL_SHARE: f64 = 0.6;
+/// The credit is published when it moved by this share.
+const CREDIT_STEP: f64 = 0.1;
+/// Burst of a tenant above its share here, in seconds of it.
+const TENANT_BURST: f64 = 2.0;
+/// Expected runs without one ending before the server counts as stalled.
+const STALL: f64 = 5.0;
+
+/// A sum that forgets: brought up to date when read.
+#[derive(Clone, Debug)]
+struct Fading {
+    value: f64,
+    at: Us,
+    span: f64,
+}
+
+impl Fading {
+    fn new(span: Us) -> Fading {
+        Fading { value: 0.0, at: 0, span: span.max(1) as f64 }
+    }
+    fn read(&mut self, now: Us) -> f64 {
+        self.value *= (-(now.saturating_sub(self.at) as f64) / self.span).exp();
+        self.at = now;
+        self.value
+    }
+    fn add(&mut self, now: Us, amount: f64) {
+        self.value = self.read(now) + amount;
+    }
+}
+
+/// What serving an RPC of one method costs, learned from runs that ended ok. In microseconds.
+#[derive(Clone, Debug)]
+struct Cost {
+    n: f64,
+    sum: f64,
+    squares: f64,
+    whole: f64,
+    base: f64,
+}
+
+impl Cost {
+    fn new(first: f64) -> Cost {
+        Cost { n: 1.0, sum: first, squares: first * first, whole: first * 1.5, base: first }
+    }
+    fn learn(&mut self, served: f64, whole: f64, calm: bool) {
+        let keep = 1.0 - 1.0 / COST_MEMORY;
+        self.n = self.n * keep + 1.0;
+        self.sum = self.sum * keep + served;
+        self.squares = self.squares * keep + served * served;
+        self.whole += (whole - self.whole) / self.n.min(COST_MEMORY);
+        if calm {
+            self.base += (served - self.base) / self.n.min(COST_MEMORY);
+        }
+    }
+    fn mean(&self) -> f64 {
+        self.sum / self.n
+    }
+    /// The upper estimate: mean and one deviation.
+    fn max_cost(&self) -> f64 {
+        self.mean() + (self.squares / self.n - self.mean().powi(2)).max(0.0).sqrt()
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    buf_value: f64,
+    buf_correction: f64,
+    last_update: Us,
+    last_seen: Us,
+}
+
+/// The accounts of the callers, in nanoseconds of serving time.
+#[derive(Clone, Debug)]
+pub struct Accounts {
+    of: BTreeMap<CallerId, Account>,
+    span: f64,
+    active: f64,
+    mrr: f64,
+    buf_limit: f64,
+}
+
+impl Accounts {
+    /// `shortest`: the shortest latency target; `callers`: those known at the start.
+    pub fn new(shortest: Us, callers: usize) -> Accounts {
+        let (active, span) = (callers.max(1) as f64, shortest as f64 / 1e3 * BUF_SPAN);
+        Accounts { of: BTreeMap::new(), span, active, mrr: 1e6, buf_limit: 0.0 }
+    }
+
+    /// Shares target_parallel_reqs out over the active callers; accounts long unused are forgotten.
+    fn share_out(&mut self, now: Us, target: f64, dearest: f64) {
+        self.of.retain(|_, a| a.last_seen + 60 * ACTIVE > now);
+        let active = self.of.values().filter(|a| a.last_seen + ACTIVE > now).count();
+        self.active = active.max(1) as f64;
+        self.mrr = target * 1e6 / self.active;
+        self.buf_limit = (self.mrr * self.span).max(dearest * BUF_RPCS);
+    }
+
+    fn recharge(&mut self, now: Us, caller: CallerId) -> &mut Account {
+        let (mrr, limit) = (self.mrr, self.buf_limit);
+        let fresh = Account { buf_value: limit, buf_correction: 0.0, last_update: now, last_seen: now };
+        let a = self.of.entry(caller).or_insert(fresh);
+        a.buf_value = (a.buf_value + mrr * (now - a.last_update) as f64 / 1e3).min(limit);
+        a.last_update = now;
+        a
+    }
+
+    /// Takes max_cost, or what there is of it; hands back what was taken and the relative buffer.
+    fn take(&mut self, now: Us, caller: CallerId, max_cost: f64) -> (f64, f64) {
+        let limit = self.buf_limit;
+        let a = self.recharge(now, caller);
+        let taken = max_cost.min(a.buf_value);
+        a.buf_value -= taken;
+        (taken, a.buf_value / limit)
+    }
+
+    /// The source's correction, in its order, on what was really taken.
+    fn correct(&mut self, now: Us, caller: CallerId, taken: f64, real_cost: f64, penalty: f64) {
+        let limit = self.buf_limit;
+        let a = self.recharge(now, caller);
+        a.buf_correction = (a.buf_correction - penalty).min(0.0);
+        if real_cost < taken {
+            a.buf_correction += taken - real_cost;
+        }
+        if a.buf_correction > 0.0 {
+            a.buf_value = (a.buf_value + a.buf_correction).min(limit);
+            a.buf_correction = 0.0;
+        }
+    }
+}
+
+/// target_parallel_reqs and max_parallel_reqs.
+#[derive(Clone, Debug)]
+pub struct Target {
+    cores: f64,
+    target: f64,
+    tip: f64,
+    cold_from: f64,
+    ramp: f64,
+    start: Us,
+    served: Fading,
+    base: Fading,
+}
+
+impl Target {
+    /// `tip`: running RPCs a core that a warm server survives. A cold one opens at `cold_from` of its speed, is
+    /// warm after `ramp`; `cold_from` is 1 for one that starts warm.
+    pub fn new(now: Us, cores: usize, tip: f64, cold_from: f64, ramp: Us) -> Target {
+        let (cores, ramp) = (cores.max(1) as f64, ramp.max(1) as f64);
+        let (served, base) = (Fading::new(ACTIVE), Fading::new(ACTIVE));
+        Target { cores, target: cores, tip, cold_from, ramp, start: now, served, base }
+    }
+    fn survives(&self, now: Us) -> f64 {
+        let warmed = (1.0 - self.cold_from) * ((now - self.start) as f64 / self.ramp).min(1.0);
+        SAFE * (1.0 + (self.tip - 1.0).max(0.0) * (self.cold_from + warmed)) * self.cores
+    }
+    fn max_parallel_reqs(&self, now: Us) -> f64 {
+        (self.target * HEADROOM).min(self.survives(now)).max(1.0)
+    }
+    fn seen(&mut self, now: Us, served: f64, base: f64) {
+        self.served.add(now, served);
+        self.base.add(now, base);
+    }
+    fn adjust(&mut self, now: Us, core_use: Option<f64>, parallel: f64) {
+        let (served, base) = (self.served.read(now), self.base.read(now));
+        if served > base * SLOW {
+            self.target *= FALL;
+        } else if core_use.is_some_and(|u| u < IDLE) && parallel + 1.0 >= self.target {
+            self.target *= RISE;
+        }
+        let most = (self.survives(now) / HEADROOM).max(1.0);
+        self.target = self.target.max(self.cores).min(most);
+    }
+}
+
+/// Held RPCs by criticality, then relative buffer, then age.
+#[derive(Clone, Debug, Default)]
+pub struct Hold {
+    order: BTreeSet<(Reverse<u64>, Reverse<u64>, u64, RpcId)>,
+    work: BTreeMap<Reverse<u64>, f64>,
+}
+
+impl Hold {
+    fn put(&mut self, place: (Reverse<u64>, Reverse<u64>, u64, RpcId), work: f64) {
+        if self.order.insert(place) {
+            *self.work.entry(place.0).or_default() += work;
+        }
+    }
+    fn drop(&mut self, place: (Reverse<u64>, Reverse<u64>, u64, RpcId), work: f64) {
+        if self.order.remove(&place) {
+            *self.work.entry(place.0).or_default() -= work;
+        }
+    }
+    /// Expected work held at this criticality or above.
+    fn ahead(&self, band: Reverse<u64>) -> f64 {
+        self.work.range(..=band).map(|(_, w)| w).sum::<f64>().max(0.0)
+    }
+}
+
+/// Calls below: the bound on those in hand, and the breaker.
+#[derive(Clone, Debug)]
+pub struct Calls {
+    below: Below,
+    bound: f64,
+    linger: Us,
+    pause: f64,
+    placed: usize,
+    lingering: Vec<Us>,
+    mean: Fading,
+    failures: u32,
+    open_until: Us,
+    trial: Option<RpcId>,
+}
+
+impl Calls {
+    /// `linger`: how long an abandoned call may stay below; `shortest`: the shortest latency target.
+    pub fn new(below: Below, cores: usize, linger: Us, shortest: Us) -> Calls {
+        let (bound, window) = match below {
+            Below::Nothing => (f64::INFINITY, 1),
+            Below::Shared { share, window } => (share, window),
+            Below::Tier => (CALLS_PER_CORE * cores as f64, 1),
+        };
+        let (pause, mean) = (shortest as f64 * BREAK, Fading::new(window));
+        let lingering = Vec::new();
+        let (failures, open_until, trial) = (0, 0, None);
+        Calls { below, bound, linger, pause, placed: 0, lingering, mean, failures, open_until, trial }
+    }
+    /// Calls below count until they end; abandoned ones as long as they may linger.
+    fn in_hand(&mut self, now: Us) -> f64 {
+        self.lingering.retain(|t| *t > now);
+        (self.placed + self.lingering.len()) as f64
+    }
+    /// Room for one more. A share's fraction is used by a further call while the mean over its window allows.
+    fn room(&mut self, now: Us) -> bool {
+        let with = self.in_hand(now) + 1.0;
+        let Below::Shared { share, window } = self.below else { return with <= self.bound };
+        with <= share
+            || (with < share + 1.0 && self.mean.read(now) / window as f64 + 1.0 / BEATS as f64 <= share)
+    }
+    /// Guards against a layer below that fails or hangs: after failures in a row calls stop and return by single
+    /// trials. Harm: some calls that would have been ok are left out for a pause.
+    fn shut(&self, now: Us) -> bool {
+        self.failures >= FAILURES && (now < self.open_until || self.trial.is_some())
+    }
+    fn pass_time(&mut self, now: Us) {
+        let passed = now.saturating_sub(self.mean.at) as f64;
+        let held = self.placed + self.lingering.len();
+        self.mean.add(now, held as f64 * passed);
+    }
+    fn ended(&mut self, now: Us, id: RpcId, end: CallEnd, chance: f64) {
+        self.placed = self.placed.saturating_sub(1);
+        if end == CallEnd::TimedOut {
+            self.lingering.push(now + self.linger);
+        }
+        let trial = self.trial == Some(id);
+        if trial {
+            self.trial = None;
+        }
+        if end == CallEnd::Ok {
+            self.failures = 0;
+        } else {
+            self.failures = self.failures.saturating_add(1);
+            if trial || self.failures == FAILURES {
+                self.open_until = now + (self.pause * (0.75 + 0.5 * chance)) as Us;
+            }
+        }
+    }
+}
+
+/// The table of keys: what each entry needs, and until when it lives.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    kb: f64,
+    fresh: Us,
+    until: BTreeMap<RpcId, Us>,
+    ends: BTreeSet<(Us, RpcId)>,
+}
+
+impl Keys {
+    /// `kb`: memory of one entry; `fresh`: how long a read's answer may serve others.
+    pub fn new(kb: f64, fresh: Us) -> Keys {
+        Keys { kb, fresh, until: BTreeMap::new(), ends: BTreeSet::new() }
+    }
+    fn keep(&mut self, id: RpcId, until: Us) {
+        self.forget(id);
+        self.until.insert(id, until);
+        self.ends.insert((until, id));
+    }
+    fn forget(&mut self, id: RpcId) -> bool {
+        let Some(until) = self.until.remove(&id) else { return false };
+        self.ends.remove(&(until, id))
+    }
+    fn used(&mut self, now: Us) -> f64 {
+        while let Some((until, id)) = self.ends.first().copied().filter(|(t, _)| *t < now) {
+            self.ends.remove(&(until, id));
+            self.until.remove(&id);
+        }
+        self.until.len() as f64 * self.kb
+    }
+}
+
+/// Memory of held and running RPCs, counted before anything is done.
+#[derive(Clone, Debug)]
+pub struct Memory {
+    ram: f64,
+    factor: f64,
+    used: f64,
+    seen: f64,
+}
+
+impl Memory {
+    /// `ram` in kB; a running RPC takes `factor` times what it takes while held.
+    pub fn new(ram: f64, factor: f64) -> Memory {
+        Memory { ram, factor: factor.max(1.0), used: 0.0, seen: 1.0 }
+    }
+    fn fits(&self, keys: f64, more: f64) -> bool {
+        (self.used + more) * self.seen + keys <= self.ram * SAFE
+    }
+    /// The gauge above our own count means that some methods weigh more than told.
+    fn compare(&mut self, heap_share: f64, keys: f64) {
+        if self.used > self.ram * 0.05 {
+            let seen = (heap_share * self.ram - keys) / self.used;
+            self.seen = seen.clamp(1.0, 4.0).max(self.seen * 0.99);
+        }
+    }
+}
+
+/// The notice to leave.
+#[derive(Clone, Debug)]
+pub struct Drain {
+    grace: Us,
+    notice: Option<(Us, Us)>,
+}
+
+impl Drain {
+    /// `grace`: what arrives later than this after the notice is not run.
+    pub fn new(grace: Us) -> Drain {
+        Drain { grace, notice: None }
+    }
+}
+
+/// What is told to callers.
+#[derive(Clone, Debug)]
+pub struct Credit {
+    say: Say,
+    come_back: Us,
+    said: f64,
+    healthy: Option<bool>,
+}
+
+impl Credit {
+    /// `come_back`: the longest time to come back that is relayed; 0 where none is.
+    pub fn new(say: Say, come_back: Us) -> Credit {
+        Credit { say, come_back, said: -1.0, healthy: None }
+    }
+}
+
+/// Tenants' shares here: what exceeds them is worth less, so it waits behind the rest.
+#[derive(Clone, Debug)]
+pub struct Shares {
+    rates: Vec<(f64, f64, Us)>,
+    worth: f64,
+}
+
+impl Shares {
+    /// `rates`: RPCs a second of each tenant over the whole fleet; `worth`: of what exceeds them.
+    pub fn new(rates: &[f64], replicas: usize, worth: f64) -> Shares {
+        let here = |r: &f64| (r / replicas.max(1) as f64).max(0.01);
+        Shares { rates: rates.iter().map(here).map(|r| (r, r * TENANT_BURST, 0)).collect(), worth }
+    }
+    fn worth(&mut self, now: Us, tenant: Option<usize>) -> f64 {
+        let Some((rate, room, at)) = tenant.and_then(|t| self.rates.get_mut(t)) else { return 1.0 };
+        *room = (*room + *rate * (now - *at) as f64 / 1e6).min((*rate * TENANT_BURST).max(1.0));
+        *at = now;
+        if *room < 1.0 {
+            return self.worth;
+        }
+        *room -= 1.0;
+        1.0
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Held,
+    Joined,
+    Running,
+    AtCall,
+    Calling,
+}
+
+#[derive(Clone, Debug)]
+struct Rpc {
+    method: MethodId,
+    caller: CallerId,
+    arrived: Us,
+    due: Us,
+    good_by: Us,
+    kb: f64,
+    taken: f64,
+    band: Reverse<u64>,
+    fill: Reverse<u64>,
+    seq: u64,
+    work: f64,
+    stage: Stage,
+    begun: Us,
+    since: Us,
+    served: f64,
+    penalty: f64,
+    mark: f64,
+    answered: bool,
+    stopped: bool,
+    alarm: Us,
+    failed_calls: u32,
+    may_call_again: bool,
+}
+
+/// One server's decisions.
+pub struct Control {
+    now: Us,
+    chance: WyRand,
+    step: Us,
+    stop_mode: StopMode,
+    methods: Vec<Method>,
+    costs: Vec<Cost>,
+    patience: Vec<Us>,
+    accounts: Accounts,
+    target: Target,
+    hold: Hold,
+    calls: Calls,
+    keys: Keys,
+    memory: Memory,
+    drain: Drain,
+    credit: Credit,
+    shares: Shares,
+    rpcs: BTreeMap<RpcId, Rpc>,
+    alarms: BTreeSet<(Us, RpcId)>,
+    at_call: BTreeSet<(Reverse<u64>, u64, RpcId)>,
+    parallel: BTreeMap<Reverse<u64>, (usize, f64)>,
+    running: usize,
+    last_end: Us,
+    stalled: bool,
+    beat: Us,
+    woken_at: Us,
+    seq: u64,
+    out: Outcome,
+}
+
+impl Control {
+    /// `step` is the least time between two inputs, the margin for answers in time.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        now: Us, seed: u64, step: Us, stop_mode: StopMode, methods: Vec<Method>, accounts: Accounts,
+        target: Target, calls: Calls, keys: Keys, memory: Memory, drain: Drain, credit: Credit,
+        shares: Shares,
+    ) -> Control {
+        let costs = methods.iter().map(|m| Cost::new(m.latency_target as f64 * FIRST_COST)).collect();
+        let patience = methods.iter().map(|_| 0).collect();
+        let (hold, out) = (Hold::default(), Outcome::default());
+        let mut control = Control {
+            now,
+            chance: WyRand::new_seed(seed),
+            step,
+            stop_mode,
+            methods,
+            costs,
+            patience,
+            accounts,
+            target,
+            hold,
+            calls,
+            keys,
+            memory,
+            drain,
+            credit,
+            shares,
+            rpcs: BTreeMap::new(),
+            alarms: BTreeSet::new(),
+            at_call: BTreeSet::new(),
+            parallel: BTreeMap::new(),
+            running: 0,
+            last_end: now,
+            stalled: false,
+            beat: now,
+            woken_at: Us::MAX,
+            seq: 0,
+            out,
+        };
+        control.share_out();
+        control
+    }
+
+    /// The start: what to publish and when to wake first.
+    pub fn started(&mut self) -> Outcome {
+        self.settle(self.now)
+    }
+
+    /// An RPC was read and is held from now on.
+    pub fn rpc_read(&mut self, now: Us, arrival: Arrival, tenant: Option<usize>) -> Outcome {
+        self.pass_time(now);
+        self.take(arrival, tenant);
+        self.settle(now)
+    }
+
+    /// No one waits for this RPC any longer. Held ones are over; the rest end with `run_ended`.
+    pub fn caller_gone(&mut self, now: Us, id: RpcId) -> Outcome {
+        self.pass_time(now);
+        match self.rpcs.get(&id).map(|r| r.stage) {
+            Some(Stage::Held | Stage::Joined) => self.end_unrun(id),
+            Some(Stage::Running) => self.answered(id),
+            Some(_) => {
+                self.off_call(id);
+                self.answered(id);
+            }
+            None => {}
+        }
+        self.settle(now)
+    }
+
+    /// A run or a join has ended.
+    pub fn run_ended(&mut self, now: Us, id: RpcId, end: RunEnd) -> Outcome {
+        self.pass_time(now);
+        self.finish(id, end);
+        self.settle(now)
+    }
+
+    /// A run can't go on without a call below.
+    pub fn call_needed(&mut self, now: Us, id: RpcId) -> Outcome {
+        self.pass_time(now);
+        if self.rpcs.get(&id).is_some_and(|r| r.stage == Stage::Running) {
+            self.off_cores(id);
+            self.last_end = now;
+            self.wait_for_call(id);
+        }
+        self.settle(now)
+    }
+
+    /// A call below has ended.
+    pub fn call_ended(&mut self, now: Us, id: RpcId, end: CallEnd) -> Outcome {
+        self.pass_time(now);
+        if self.rpcs.get(&id).is_some_and(|r| r.stage == Stage::Calling) {
+            let chance = self.chance.generate::<f64>();
+            self.calls.ended(now, id, end, chance);
+            if end == CallEnd::Ok {
+                self.on_cores(id);
+            } else {
+                let idempotent =
+                    self.rpcs.get(&id).is_some_and(|r| self.methods[r.method.0].effect == Effect::Idempotent);
+                if let Some(r) = self.rpcs.get_mut(&id) {
+                    r.failed_calls += 1;
+                    r.may_call_again = idempotent || end == CallEnd::PushedBack;
+                }
+                self.wait_for_call(id);
+            }
+        }
+        self.settle(now)
+    }
+
+    /// The notice to leave: the process is stopped at `kill`.
+    pub fn drain(&mut self, now: Us, kill: Us) -> Outcome {
+        self.pass_time(now);
+        self.drain.notice = Some((now, kill));
+        let ids: Vec<RpcId> = self.rpcs.keys().copied().collect();
+        for id in ids {
+            let due = self.rpcs[&id].due.min(kill.saturating_sub(2 * self.step));
+            self.rpcs.entry(id).and_modify(|r| r.due = due);
+            let alarm = self.rpcs[&id].alarm.min(due);
+            self.set_alarm(id, alarm);
+        }
+        self.out.log.push("notice to leave".into());
+        self.settle(now)
+    }
+
+    /// A wake asked for has come.
+    pub fn woken(&mut self, now: Us, gauges: Gauges) -> Outcome {
+        self.pass_time(now);
+        if now >= self.woken_at {
+            self.woken_at = Us::MAX;
+        }
+        if now >= self.beat {
+            self.beat = now + ACTIVE / BEATS;
+            let keys = self.keys.used(now);
+            if let Some(share) = gauges.heap_share {
+                self.memory.compare(share, keys);
+            }
+            self.target.adjust(now, gauges.core_use, self.running as f64);
+            self.share_out();
+        }
+        self.settle(now)
+    }
+
+    fn share_out(&mut self) {
+        let dearest = self.costs.iter().map(Cost::max_cost).fold(0.0, f64::max) * 1e3;
+        self.accounts.share_out(self.now, self.target.target, dearest);
+    }
+
+    /// Integrals up to now: parallel_reqs over target of each band (with those that rank above it), and calls.
+    fn pass_time(&mut self, now: Us) {
+        let passed = now.saturating_sub(self.now) as f64 * 1e3;
+        let mut above = 0.0;
+        for (running, integral) in self.parallel.values_mut() {
+            above += *running as f64;
+            *integral += (above - self.target.target) * passed;
+        }
+        self.calls.pass_time(now);
+        self.now = now.max(self.now);
+    }
+
+    fn take(&mut self, a: Arrival, tenant: Option<usize>) {
+        let (now, m) = (self.now, a.method.0);
+        let method = self.methods[m].clone();
+        let arrived = now.saturating_sub(a.unread);
+        let mut due = a.due.unwrap_or(arrived + method.deadline).max(now).saturating_sub(2 * self.step);
+        if let Some((_, kill)) = self.drain.notice {
+            due = due.min(kill.saturating_sub(2 * self.step));
+        }
+        // How long a caller waits at first is seen as the longest wait; a shorter one tells the age of the try.
+        let patience = due.saturating_sub(arrived).min(method.deadline);
+        self.patience[m] = self.patience[m].max(patience);
+        let age = if a.due.is_some() { self.patience[m] - patience } else { 0 };
+        let good_by = (arrived + method.latency_target).saturating_sub(age);
+        let worth = method.criticality * self.shares.worth(now, tenant);
+        let max_cost = self.costs[m].max_cost() * 1e3;
+        if let Some(account) = self.accounts.of.get_mut(&a.caller) {
+            account.last_seen = now;
+        }
+        let work = self.costs[m].mean();
+        self.seq += 1;
+        self.rpcs.insert(
+            a.id,
+            Rpc {
+                method: a.method,
+                caller: a.caller,
+                arrived,
+                due,
+                good_by,
+                kb: a.size_kb,
+                taken: 0.0,
+                band: Reverse((worth * 1e6) as u64),
+                fill: Reverse(0),
+                seq: self.seq,
+                work,
+                stage: Stage::Held,
+                begun: now,
+                since: now,
+                served: 0.0,
+                penalty: 0.0,
+                mark: 0.0,
+                answered: false,
+                stopped: false,
+                alarm: Us::MAX,
+                failed_calls: 0,
+                may_call_again: true,
+            },
+        );
+        self.memory.used += a.size_kb;
+        let prior = a.prior.filter(|_| method.effect != Effect::NonIdempotent);
+        if prior.is_some() {
+            self.rpcs.entry(a.id).and_modify(|r| r.stage = Stage::Joined);
+            self.out.joins.push(a.id);
+            self.set_alarm(a.id, due);
+            return;
+        }
+        let late = self.drain.notice.is_some_and(|(notice, _)| arrived >= notice + self.drain.grace);
+        let keys = self.keys.used(now);
+        let kept = if method.effect == Effect::Tokened { method.window.saturating_sub(a.unread) } else { 0 };
+        let no_room = !self.memory.fits(keys + if kept > 0 { self.keys.kb } else { 0.0 }, 0.0);
+        let wait = self.hold.ahead(self.rpcs[&a.id].band) / self.target.target;
+        let hopeless =
+            now as f64 + wait + self.costs[m].whole > self.last_good(a.id) as f64 && self.running > 0;
+        let (buf_value, full) = {
+            let buf = self.accounts.recharge(now, a.caller).buf_value;
+            (buf, self.running as f64 >= self.target.target && !self.hold.order.is_empty())
+        };
+        if late || no_room || now >= due || hopeless || self.stalled {
+            self.push_back(a.id, hopeless && !self.stalled);
+            return;
+        }
+        if full && buf_value < max_cost {
+            // The account refuses by criticality: its lowest held RPC leaves in place of a newcomer above it.
+            let band = self.rpcs[&a.id].band;
+            let low = self.hold.order.iter().rev().take_while(|p| p.0 > band);
+            let low = low.map(|p| p.3).find(|id| self.rpcs[id].caller == a.caller);
+            self.push_back(low.unwrap_or(a.id), true);
+            if low.is_none() {
+                return;
+            }
+        }
+        let (taken, fill) = self.accounts.take(now, a.caller, max_cost);
+        if kept > 0 {
+            self.keys.keep(a.id, now + kept + self.step);
+            self.out.keeps.push((a.id, kept + self.step));
+        }
+        let alarm = self.last_good(a.id).saturating_sub(self.costs[m].whole as Us).min(due);
+        if let Some(r) = self.rpcs.get_mut(&a.id) {
+            (r.taken, r.fill) = (taken, Reverse((fill * 1e6) as u64));
+            self.hold.put((r.band, r.fill, r.seq, a.id), r.work);
+        }
+        self.set_alarm(a.id, alarm.max(now));
+    }
+
+    /// When an answer still earns something.
+    fn last_good(&self, id: RpcId) -> Us {
+        self.rpcs.get(&id).map_or(0, |r| {
+            if self.methods[r.method.0].late_share > 0.0 {
+                r.due
+            } else {
+                r.good_by.min(r.due)
+            }
+        })
+    }
+
+    fn set_alarm(&mut self, id: RpcId, at: Us) {
+        if let Some(r) = self.rpcs.get_mut(&id) {
+            self.alarms.remove(&(r.alarm, id));
+            r.alarm = at;
+            self.alarms.insert((at, id));
+        }
+    }
+
+    fn on_cores(&mut self, id: RpcId) {
+        let due = self.rpcs.get(&id).map_or(0, |r| r.due);
+        if let Some(r) = self.rpcs.get_mut(&id) {
+            let band = self.parallel.entry(r.band).or_default();
+            band.0 += 1;
+            (r.stage, r.since, r.mark) = (Stage::Running, self.now, band.1);
+            self.running += 1;
+        }
+        self.set_alarm(id, due);
+    }
+
+    fn off_cores(&mut self, id: RpcId) {
+        if let Some(r) = self.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Running) {
+            let band = self.parallel.entry(r.band).or_default();
+            band.0 -= 1;
+            r.served += (self.now - r.since) as f64;
+            r.penalty += band.1 - r.mark;
+            self.running -= 1;
+        }
+    }
+
+    fn wait_for_call(&mut self, id: RpcId) {
+        if let Some(r) = self.rpcs.get_mut(&id) {
+            r.stage = Stage::AtCall;
+            self.at_call.insert((r.band, r.seq, id));
+        }
+    }
+
+    /// At a call, placed or not, and now over.
+    fn off_call(&mut self, id: RpcId) {
+        if let Some(r) = self.rpcs.get(&id) {
+            if r.stage == Stage::Calling {
+                let chance = self.chance.generate::<f64>();
+                self.calls.ended(self.now, id, CallEnd::TimedOut, chance);
+            }
+            self.at_call.remove(&(r.band, r.seq, id));
+        }
+    }
+
+    /// A final answer was given, or none is owed: running work is stopped, or left to its end.
+    fn answered(&mut self, id: RpcId) {
+        if let Some(r) = self.rpcs.get_mut(&id) {
+            r.answered = true;
+            self.alarms.remove(&(r.alarm, id));
+            if r.stage == Stage::Running && self.stop_mode != StopMode::Off && !r.stopped {
+                r.stopped = true;
+                self.out.stops.push(id);
+            }
+        }
+    }
+
+    /// An RPC that never ran leaves: its account gets back what was taken.
+    fn end_unrun(&mut self, id: RpcId) {
+        if let Some(r) = self.rpcs.remove(&id) {
+            self.alarms.remove(&(r.alarm, id));
+            self.hold.drop((r.band, r.fill, r.seq, id), r.work);
+            self.memory.used -= r.kb;
+            if r.taken > 0.0 {
+                self.accounts.correct(self.now, r.caller, r.taken, 0.0, 0.0);
+            }
+            if r.stage == Stage::Held && self.keys.forget(id) {
+                self.out.forgets.push(id);
+            }
+        }
+    }
+
+    fn push_back(&mut self, id: RpcId, terminal: bool) {
+        let short = (self.costs[0].max_cost() * 1e6 / self.accounts.mrr) as Us;
+        let come_back = short.min(self.credit.come_back);
+        self.out.answers.push((id, Answer::PushedBack { terminal, come_back }));
+        self.end_unrun(id);
+    }
+
+    fn abort(&mut self, id: RpcId) {
+        self.out.answers.push((id, Answer::Aborted));
+        match self.rpcs.get(&id).map(|r| r.stage) {
+            Some(Stage::Held | Stage::Joined) => self.end_unrun(id),
+            Some(Stage::Running) => self.answered(id),
+            _ => {
+                self.off_call(id);
+                self.answered(id);
+            }
+        }
+    }
+
+    fn finish(&mut self, id: RpcId, end: RunEnd) {
+        self.off_cores(id);
+        self.off_call(id);
+        let Some(r) = self.rpcs.remove(&id) else { return };
+        self.alarms.remove(&(r.alarm, id));
+        if r.stage == Stage::Joined {
+            self.memory.used -= r.kb;
+            return;
+        }
+        self.last_end = self.now;
+        self.memory.used -= r.kb * self.memory.factor;
+        let real = match end {
+            // A quick failure spent what it was taken for: it must not refill the account.
+            RunEnd::Aborted => r.taken,
+            RunEnd::NotStarted => 0.0,
+            _ => r.served * 1e3,
+        };
+        self.accounts.correct(self.now, r.caller, r.taken, real, r.penalty * PENALTY);
+        if end == RunEnd::Ok {
+            let calm = self.running as f64 <= self.target.cores;
+            let cost = &mut self.costs[r.method.0];
+            cost.learn(r.served, (self.now - r.begun) as f64, calm);
+            self.target.seen(self.now, r.served, cost.base);
+        }
+    }
+
+    fn settle(&mut self, now: Us) -> Outcome {
+        while RULES.iter().any(|rule| rule(self)) {}
+        self.publish();
+        let next = self.alarms.first().map_or(self.beat, |(t, _)| self.beat.min(*t)).max(now + 1);
+        if next < self.woken_at {
+            self.woken_at = next;
+            self.out.wake = Some(next - now);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn publish(&mut self) {
+        let leaving = self.drain.notice.is_some();
+        let healthy = !leaving && !self.stalled;
+        if self.credit.healthy != Some(healthy) {
+            self.credit.healthy = Some(healthy);
+            self.out.health = Some(healthy);
+        }
+        let target = self.target.target;
+        let idle = (self.running as f64) < target && self.hold.order.is_empty();
+        let open = if leaving || self.stalled {
+            0.0
+        } else if idle {
+            self.target.max_parallel_reqs(self.now)
+        } else {
+            (target + self.calls.in_hand(self.now)) / self.accounts.active
+        };
+        let value = match self.credit.say {
+            Say::Off => return,
+            Say::Credit => open,
+            Say::Threshold => {
+                if leaving {
+                    1.0
+                } else {
+                    0.0
+                }
+            }
+            Say::ShareOf => {
+                if leaving {
+                    0.0
+                } else {
+                    1.0
+                }
+            }
+        };
+        if (value - self.credit.said).abs() > CREDIT_STEP * self.credit.said.max(0.0) {
+            self.credit.said = value;
+            self.out.credit = Some(value);
+        }
+    }
+
+    /// Guards against work that stops finishing (a hang, a slow core): nothing new is taken until a run ends.
+    /// It also covers a pause. Harm: a rare run of several times its cost with no other beside it.
+    fn rule_stall(&mut self) -> bool {
+        let slowest = self.costs.iter().map(Cost::max_cost).fold(0.0, f64::max);
+        let stalled = self.running > 0 && (self.now - self.last_end) as f64 > STALL * slowest;
+        if self.running == 0 {
+            self.last_end = self.now;
+        }
+        let moved = stalled != self.stalled;
+        self.stalled = stalled;
+        if moved {
+            self.out.log.push(if stalled { "work stopped finishing" } else { "work finishes again" }.into());
+        }
+        moved
+    }
+
+    /// What falls due is answered; a held RPC that can't be ok in time any more is pushed back at once.
+    fn rule_due(&mut self) -> bool {
+        let Some((_, id)) = self.alarms.first().copied().filter(|(t, _)| *t <= self.now) else {
+            return false;
+        };
+        if self.rpcs.get(&id).is_some_and(|r| r.stage == Stage::Held) {
+            self.push_back(id, true);
+        } else {
+            self.abort(id);
+        }
+        true
+    }
+
+    /// A call is placed within the bound, skipped when waiting would cost more, or left waiting.
+    fn rule_call(&mut self) -> bool {
+        let now = self.now;
+        let first = self.at_call.iter().next().copied();
+        let Some((band, seq, id)) = first else { return false };
+        let Some(r) = self.rpcs.get(&id) else { return self.at_call.remove(&(band, seq, id)) };
+        let m = &self.methods[r.method.0];
+        let until = if m.late_share > 0.0 { r.due } else { r.good_by.min(r.due) };
+        let left = until.saturating_sub(now) as f64 - self.costs[r.method.0].mean() / 2.0;
+        let wait = (if m.skip_share > 0.0 { left * CALL_SHARE } else { left }).max(0.0) as Us;
+        let may = r.may_call_again && r.failed_calls < 2;
+        if may && wait > 10 * self.step && !self.calls.shut(now) && self.calls.room(now) {
+            self.at_call.remove(&(band, seq, id));
+            self.calls.placed += 1;
+            if self.calls.failures >= FAILURES {
+                self.calls.trial = Some(id);
+            }
+            self.out.calls.push((id, wait));
+            self.rpcs.entry(id).and_modify(|r| r.stage = Stage::Calling);
+            return true;
+        }
+        let skip = m.skip_share > 0.0;
+        if skip {
+            self.at_call.remove(&(band, seq, id));
+            self.out.skips.push(id);
+            self.on_cores(id);
+            return true;
+        }
+        if !may || wait <= 10 * self.step {
+            self.abort(id);
+            return true;
+        }
+        false
+    }
+
+    /// The first in the hold starts while fewer than max_parallel_reqs run and its memory fits.
+    fn rule_run(&mut self) -> bool {
+        if self.running as f64 + 1.0 > self.target.max_parallel_reqs(self.now) || self.stalled {
+            return false;
+        }
+        let Some(place) = self.hold.order.first().copied() else { return false };
+        let id = place.3;
+        let Some(r) = self.rpcs.get(&id) else { return self.hold.order.remove(&place) };
+        let (more, work) = (r.kb * (self.memory.factor - 1.0), r.work);
+        let keys = self.keys.used(self.now);
+        if !self.memory.fits(keys, more) {
+            return false;
+        }
+        self.memory.used += more;
+        self.hold.drop(place, work);
+        self.rpcs.entry(id).and_modify(|r| r.begun = self.now);
+        self.on_cores(id);
+        self.out.runs.push(id);
+        true
+    }
+}
+
+/// Gone through in this order after every input until none fires.
+const RULES: &[fn(&mut Control) -> bool] =
+    &[Control::rule_due, Control::rule_stall, Control::rule_call, Control::rule_run];
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,196 @@
+//! Ids, times and the result handed back. No decision is taken here.
+
+use std::fmt;
+
+/// A moment or a span in whole microseconds. The clock has no particular start.
+pub type Us = u64;
+
+/// The name of one RPC: up to 36 bytes, given back as it came.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RpcId([u8; 36]);
+
+impl RpcId {
+    /// Takes a name of at most 36 bytes; a longer one is refused.
+    pub fn new(name: &str) -> Option<RpcId> {
+        let mut bytes = [0; 36];
+        bytes.get_mut(..name.len())?.copy_from_slice(name.as_bytes());
+        Some(RpcId(bytes))
+    }
+
+    /// The name as it came.
+    pub fn as_str(&self) -> &str {
+        let end = self.0.iter().position(|b| *b == 0).unwrap_or(36);
+        std::str::from_utf8(&self.0[..end]).unwrap_or("")
+    }
+}
+
+impl fmt::Debug for RpcId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// A method's place in the list given at start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct MethodId(pub usize);
+
+/// A caller's number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallerId(pub u64);
+
+/// Whether an RPC of a method may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It may run again.
+    Idempotent,
+    /// It carries a mark by which a repeat is known; one run within its window.
+    Tokened,
+    /// It must never run twice.
+    NonIdempotent,
+}
+
+/// What stopping does to running work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopMode {
+    /// Running work can't be stopped.
+    Off,
+    /// What was done is lost.
+    Abort,
+    /// Progress and memory are kept.
+    Suspend,
+}
+
+/// What lies below this server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Below {
+    /// Nothing.
+    Nothing,
+    /// One dependency of all servers: this server's share of the calls it survives, as a mean over the window.
+    Shared { share: f64, window: Us },
+    /// A tier of servers that run the same decisions; no share is told.
+    Tier,
+}
+
+/// What callers make of the number published to them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Say {
+    /// Nothing may be published.
+    Off,
+    /// RPCs each caller may have outstanding here.
+    Credit,
+    /// Callers send nothing whose rank is below it.
+    Threshold,
+    /// The chance, 0 to 1, that a caller does not pass this server over.
+    ShareOf,
+}
+
+/// One method as the operators describe it.
+#[derive(Clone, Debug)]
+pub struct Method {
+    /// An answer within this time of the client's first try earns everything.
+    pub latency_target: Us,
+    /// A client's whole waiting time.
+    pub deadline: Us,
+    /// Whether it may run again.
+    pub effect: Effect,
+    /// What an ok answer is worth.
+    pub criticality: f64,
+    /// The share of it that an answer after the latency target earns.
+    pub late_share: f64,
+    /// For tokened methods: how long after its arrival a repeat may come.
+    pub window: Us,
+    /// The share of criticality earned when a call below is skipped; 0 where that is not allowed.
+    pub skip_share: f64,
+}
+
+/// One RPC as it was read.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub id: RpcId,
+    pub method: MethodId,
+    pub caller: CallerId,
+    /// When its caller gives up, where that is sent.
+    pub due: Option<Us>,
+    /// Memory taken while held.
+    pub size_kb: f64,
+    /// How long it lay unread here.
+    pub unread: Us,
+    /// A further try or a second copy, where such are marked.
+    pub repeat: bool,
+    /// The kept RPC that this one repeats.
+    pub prior: Option<RpcId>,
+    /// Its subject, where told.
+    pub key: Option<u64>,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    Ok,
+    Aborted,
+    /// Stopped, or ended at a call after its answer or its caller's leaving.
+    Stopped,
+    /// It was over before it began.
+    NotStarted,
+}
+
+/// How a call below ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    Ok,
+    /// It failed or was cut off and may have taken effect.
+    Aborted,
+    /// Abandoned for time; it may have taken effect and lingers below.
+    TimedOut,
+    /// It surely never ran.
+    PushedBack,
+}
+
+/// The server's own readings, each 0 or more.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Gauges {
+    /// Share of the cores busy of late.
+    pub core_use: Option<f64>,
+    /// All that wants a core now.
+    pub on_cores: Option<f64>,
+    /// Share of memory in use.
+    pub heap_share: Option<f64>,
+}
+
+/// A final answer given by the module itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    /// Never run here; the caller may be asked not to go on elsewhere, and when to come back here.
+    PushedBack { terminal: bool, come_back: Us },
+    /// An error without any assurance.
+    Aborted,
+}
+
+/// What is to be done, in this order of lists.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Final answers.
+    pub answers: Vec<(RpcId, Answer)>,
+    /// Running work to stop; comes after the answers, so that what is answered ends for good.
+    pub stops: Vec<RpcId>,
+    /// Keys to keep, and for how long.
+    pub keeps: Vec<(RpcId, Us)>,
+    /// Keys to let go.
+    pub forgets: Vec<RpcId>,
+    /// Held RPCs to serve from the one they repeat.
+    pub joins: Vec<RpcId>,
+    /// Held RPCs to start.
+    pub runs: Vec<RpcId>,
+    /// Calls to place below, each with its time-out.
+    pub calls: Vec<(RpcId, Us)>,
+    /// Calls to leave out.
+    pub skips: Vec<RpcId>,
+    /// The number to publish.
+    pub credit: Option<f64>,
+    /// The answer to health checks from now on, given from store.
+    pub health: Option<bool>,
+    /// Span after which to wake the module, besides the wakes asked for before.
+    pub wake: Option<Us>,
+    /// Lines for the operators' log.
+    pub log: Vec<String>,
+}
