--- a/src/control.rs
+++ b/src/control.rs
@@ -436,7 +436,6 @@
 struct Rpc {
     method: MethodId,
     caller: CallerId,
-    arrived: Us,
     due: Us,
     good_by: Us,
     kb: f64,
@@ -466,7 +465,6 @@
     stop_mode: StopMode,
     methods: Vec<Method>,
     costs: Vec<Cost>,
-    patience: Vec<Us>,
     accounts: Accounts,
     target: Target,
     hold: Hold,
@@ -498,7 +496,6 @@
         shares: Shares,
     ) -> Control {
         let costs = methods.iter().map(|m| Cost::new(m.latency_target as f64 * FIRST_COST)).collect();
-        let patience = methods.iter().map(|_| 0).collect();
         let (hold, out) = (Hold::default(), Outcome::default());
         let mut control = Control {
             now,
@@ -507,7 +504,6 @@
             stop_mode,
             methods,
             costs,
-            patience,
             accounts,
             target,
             hold,
@@ -657,11 +653,7 @@
         if let Some((_, kill)) = self.drain.notice {
             due = due.min(kill.saturating_sub(2 * self.step));
         }
-        // How long a caller waits at first is seen as the longest wait; a shorter one tells the age of the try.
-        let patience = due.saturating_sub(arrived).min(method.deadline);
-        self.patience[m] = self.patience[m].max(patience);
-        let age = if a.due.is_some() { self.patience[m] - patience } else { 0 };
-        let good_by = (arrived + method.latency_target).saturating_sub(age);
+        let good_by = arrived + method.latency_target;
         let worth = method.criticality * self.shares.worth(now, tenant);
         let max_cost = self.costs[m].max_cost() * 1e3;
         if let Some(account) = self.accounts.of.get_mut(&a.caller) {
@@ -674,7 +666,6 @@
             Rpc {
                 method: a.method,
                 caller: a.caller,
-                arrived,
                 due,
                 good_by,
                 kb: a.size_kb,
