--- a/src/control.rs
+++ b/src/control.rs
@@ -43,6 +43,8 @@
 const BREAK: f64 = 0.5;
 /// Share of the time left that a call may take when it can be skipped afterwards.
 const CALL_SHARE: f64 = 0.6;
+/// Room in the credit for RPCs that wait, as a share of the target: with none there is no choice by criticality.
+const HOLD_ROOM: f64 = 1.0;
 /// The credit is published when it moved by this share.
 const CREDIT_STEP: f64 = 0.1;
 /// Burst of a tenant above its share here, in seconds of it.
@@ -888,7 +890,7 @@
         } else if idle {
             self.target.max_parallel_reqs(self.now)
         } else {
-            (target + self.calls.in_hand(self.now)) / self.accounts.active
+            (target * (1.0 + HOLD_ROOM) + self.calls.in_hand(self.now)) / self.accounts.active
         };
         let value = match self.credit.say {
             Say::Off => return,
