--- a/src/control.rs
+++ b/src/control.rs
@@ -21,6 +21,8 @@
 const BUF_RPCS: f64 = 2.0;
 /// Constant factor of congestion_penalty.
 const PENALTY: f64 = 0.25;
+/// Share of buf_limit that an account keeps for its more critical RPCs once RPCs are held.
+const RESERVE: f64 = 0.5;
 /// First max_cost of a method, as a share of its latency target.
 const FIRST_COST: f64 = 0.2;
 /// RPCs that a method's learned cost remembers.
@@ -44,7 +46,7 @@
 /// Share of the time left that a call may take when it can be skipped afterwards.
 const CALL_SHARE: f64 = 0.6;
 /// Room in the credit for RPCs that wait, as a share of the target: with none there is no choice by criticality.
-const HOLD_ROOM: f64 = 1.0;
+const HOLD_ROOM: f64 = 0.0;
 /// The credit is published when it moved by this share.
 const CREDIT_STEP: f64 = 0.1;
 /// Burst of a tenant above its share here, in seconds of it.
@@ -466,6 +468,7 @@
     step: Us,
     stop_mode: StopMode,
     methods: Vec<Method>,
+    dearest: f64,
     costs: Vec<Cost>,
     accounts: Accounts,
     target: Target,
@@ -498,6 +501,7 @@
         shares: Shares,
     ) -> Control {
         let costs = methods.iter().map(|m| Cost::new(m.latency_target as f64 * FIRST_COST)).collect();
+        let dearest = methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
         let (hold, out) = (Hold::default(), Outcome::default());
         let mut control = Control {
             now,
@@ -505,6 +509,7 @@
             step,
             stop_mode,
             methods,
+            dearest,
             costs,
             accounts,
             target,
@@ -712,7 +717,8 @@
             self.push_back(a.id, hopeless && !self.stalled);
             return;
         }
-        if full && buf_value < max_cost {
+        let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / self.dearest);
+        if full && buf_value < max_cost + reserve {
             // The account refuses by criticality: its lowest held RPC leaves in place of a newcomer above it.
             let band = self.rpcs[&a.id].band;
             let low = self.hold.order.iter().rev().take_while(|p| p.0 > band);
