Target rises only while fewer RPCs want a core than there are cores

Cause: the half-second core_use dipped between bursts and let the target climb to 3 runs a core, where runs slow one another down.

--- a/src/control.rs
+++ b/src/control.rs
@@ -208,11 +208,12 @@
         self.served.add(now, served);
         self.base.add(now, base);
     }
-    fn adjust(&mut self, now: Us, core_use: Option<f64>, parallel: f64) {
+    fn adjust(&mut self, now: Us, gauges: Gauges, parallel: f64) {
         let (served, base) = (self.served.read(now), self.base.read(now));
+        let idle = gauges.on_cores.map(|n| n < self.cores).or(gauges.core_use.map(|u| u < IDLE)).unwrap_or(false);
         if served > base * SLOW {
             self.target *= FALL;
-        } else if core_use.is_some_and(|u| u < IDLE) && parallel + 1.0 >= self.target {
+        } else if idle && parallel + 1.0 >= self.target {
             self.target *= RISE;
         }
         let most = (self.survives(now) / HEADROOM).max(1.0);
@@ -629,7 +630,7 @@
             if let Some(share) = gauges.heap_share {
                 self.memory.compare(share, keys);
             }
-            self.target.adjust(now, gauges.core_use, self.running as f64);
+            self.target.adjust(now, gauges, self.running as f64);
             self.share_out();
         }
         self.settle(now)
