Credit is cut as the time unread grows

Cause: with nothing held and few runs the server called itself idle while arrivals lay unread for half a second and more; the credit of an idle server then asked for more. Guards against arrivals outrunning the reading whatever the cause; may cost a little when a pause alone made RPCs wait.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -175,7 +175,7 @@
         Keys::new(maybe(family, "KbPerKey")?.unwrap_or(0.0), maybe_time(family, "FreshMs")?),
         Memory::new(number(family, "RamKb")?, factor),
         Drain::new(time(safety, "StopSendingWithinMs")?),
-        Credit::new(say, relayed),
+        Credit::new(say, relayed, shortest),
         Shares::new(&rates, replicas, over),
     );
     Ok(Instance { control, methods: names, tenants })
--- a/src/control.rs
+++ b/src/control.rs
@@ -47,6 +47,8 @@
 const CALL_SHARE: f64 = 0.6;
 /// Room in the credit for RPCs that wait, as a share of the target: with none there is no choice by criticality.
 const HOLD_ROOM: f64 = 0.0;
+/// Mean time unread, as a share of the shortest latency target, above which reading is the bottleneck.
+const UNREAD: f64 = 0.1;
 /// The credit is published when it moved by this share.
 const CREDIT_STEP: f64 = 0.1;
 /// Burst of a tenant above its share here, in seconds of it.
@@ -392,14 +394,18 @@
 pub struct Credit {
     say: Say,
     come_back: Us,
+    unread: Fading,
+    read: Fading,
+    fine: f64,
     said: f64,
     healthy: Option<bool>,
 }
 
 impl Credit {
     /// `come_back`: the longest time to come back that is relayed; 0 where none is.
-    pub fn new(say: Say, come_back: Us) -> Credit {
-        Credit { say, come_back, said: -1.0, healthy: None }
+    pub fn new(say: Say, come_back: Us, shortest: Us) -> Credit {
+        let (unread, read, fine) = (Fading::new(ACTIVE), Fading::new(ACTIVE), shortest as f64 * UNREAD);
+        Credit { say, come_back, unread, read, fine, said: -1.0, healthy: None }
     }
 }
 
@@ -655,6 +661,8 @@
 
     fn take(&mut self, a: Arrival, tenant: Option<usize>) {
         let (now, m) = (self.now, a.method.0);
+        self.credit.unread.add(now, a.unread as f64);
+        self.credit.read.add(now, 1.0);
         let method = self.methods[m].clone();
         let arrived = now.saturating_sub(a.unread);
         let mut due = a.due.unwrap_or(arrived + method.deadline).max(now).saturating_sub(2 * self.step);
@@ -891,13 +899,16 @@
             self.out.health = Some(healthy);
         }
         let target = self.target.target;
-        let idle = (self.running as f64) < target && self.hold.order.is_empty();
+        // Guards against arrivals outrunning the reading: what callers send is cut as the time unread grows.
+        let unread = self.credit.unread.read(self.now) / self.credit.read.read(self.now).max(1.0);
+        let crowd = (unread / self.credit.fine).max(1.0);
+        let idle = (self.running as f64) < target && self.hold.order.is_empty() && crowd <= 1.0;
         let open = if leaving || self.stalled {
             0.0
         } else if idle {
             self.target.max_parallel_reqs(self.now)
         } else {
-            (target * (1.0 + HOLD_ROOM) + self.calls.in_hand(self.now)) / self.accounts.active
+            (target * (1.0 + HOLD_ROOM) + self.calls.in_hand(self.now)) / self.accounts.active / crowd
         };
         let value = match self.credit.say {
             Say::Off => return,
