--- a/src/control.rs
+++ b/src/control.rs
@@ -43,10 +43,10 @@
 /// Failures in a row that open the breaker; it tries again after this share of the shortest latency target.
 const FAILURES: u32 = 5;
 const BREAK: f64 = 0.5;
-/// Share of the time left that a call may take when it can be skipped afterwards.
-const CALL_SHARE: f64 = 0.6;
-/// Room in the credit for RPCs that wait, as a share of the target: with none there is no choice by criticality.
-const HOLD_ROOM: f64 = 0.0;
+/// Times that a call is tried for one RPC.
+const TRIES: u32 = 2;
+/// Share of a method's mean cost that is kept free after a call to finish in time.
+const FINISH: f64 = 0.75;
 /// Mean time unread, as a share of the shortest latency target, above which reading is the bottleneck.
 const UNREAD: f64 = 0.1;
 /// The credit is published when it moved by this share.
@@ -56,28 +56,6 @@
 /// Expected runs without one ending before the server counts as stalled.
 const STALL: f64 = 5.0;
 
-/// A sum that forgets: brought up to date when read.
-#[derive(Clone, Debug)]
-struct Fading {
-    value: f64,
-    at: Us,
-    span: f64,
-}
-
-impl Fading {
-    fn new(span: Us) -> Fading {
-        Fading { value: 0.0, at: 0, span: span.max(1) as f64 }
-    }
-    fn read(&mut self, now: Us) -> f64 {
-        self.value *= (-(now.saturating_sub(self.at) as f64) / self.span).exp();
-        self.at = now;
-        self.value
-    }
-    fn add(&mut self, now: Us, amount: f64) {
-        self.value = self.read(now) + amount;
-    }
-}
-
 /// What serving an RPC of one method costs, learned from runs that ended ok. In microseconds.
 #[derive(Clone, Debug)]
 struct Cost {
@@ -212,7 +190,8 @@
     }
     fn adjust(&mut self, now: Us, gauges: Gauges, parallel: f64) {
         let (served, base) = (self.served.read(now), self.base.read(now));
-        let idle = gauges.on_cores.map(|n| n < self.cores).or(gauges.core_use.map(|u| u < IDLE)).unwrap_or(false);
+        let idle =
+            gauges.on_cores.map(|n| n < self.cores).or(gauges.core_use.map(|u| u < IDLE)).unwrap_or(false);
         if served > base * SLOW {
             self.target *= FALL;
         } else if idle && parallel + 1.0 >= self.target {
@@ -226,17 +205,17 @@
 /// Held RPCs by criticality, then relative buffer, then age.
 #[derive(Clone, Debug, Default)]
 pub struct Hold {
-    order: BTreeSet<(Reverse<u64>, Reverse<u64>, u64, RpcId)>,
+    order: BTreeSet<Place>,
     work: BTreeMap<Reverse<u64>, f64>,
 }
 
 impl Hold {
-    fn put(&mut self, place: (Reverse<u64>, Reverse<u64>, u64, RpcId), work: f64) {
+    fn put(&mut self, place: Place, work: f64) {
         if self.order.insert(place) {
             *self.work.entry(place.0).or_default() += work;
         }
     }
-    fn drop(&mut self, place: (Reverse<u64>, Reverse<u64>, u64, RpcId), work: f64) {
+    fn drop(&mut self, place: Place, work: f64) {
         if self.order.remove(&place) {
             *self.work.entry(place.0).or_default() -= work;
         }
@@ -292,8 +271,7 @@
     fn shut(&self, now: Us) -> bool {
         self.failures >= FAILURES && (now < self.open_until || self.trial.is_some())
     }
-    fn pass_time(&mut self, now: Us) {
-        let passed = now.saturating_sub(self.mean.at) as f64;
+    fn pass_time(&mut self, now: Us, passed: f64) {
         let held = self.placed + self.lingering.len();
         self.mean.add(now, held as f64 * passed);
     }
@@ -434,40 +412,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    Held,
-    Joined,
-    Running,
-    AtCall,
-    Calling,
-}
-
-#[derive(Clone, Debug)]
-struct Rpc {
-    method: MethodId,
-    caller: CallerId,
-    due: Us,
-    good_by: Us,
-    kb: f64,
-    taken: f64,
-    band: Reverse<u64>,
-    fill: Reverse<u64>,
-    seq: u64,
-    work: f64,
-    stage: Stage,
-    begun: Us,
-    since: Us,
-    served: f64,
-    penalty: f64,
-    mark: f64,
-    answered: bool,
-    stopped: bool,
-    alarm: Us,
-    failed_calls: u32,
-    may_call_again: bool,
-}
-
 /// One server's decisions.
 pub struct Control {
     now: Us,
@@ -488,7 +432,7 @@
     shares: Shares,
     rpcs: BTreeMap<RpcId, Rpc>,
     alarms: BTreeSet<(Us, RpcId)>,
-    at_call: BTreeSet<(Reverse<u64>, u64, RpcId)>,
+    at_call: BTreeSet<Place>,
     parallel: BTreeMap<Reverse<u64>, (usize, f64)>,
     running: usize,
     last_end: Us,
@@ -500,8 +444,8 @@
 }
 
 impl Control {
-    /// `step` is the least time between two inputs, the margin for answers in time.
-    #[allow(clippy::too_many_arguments)]
+    /// `step` is the least time between two inputs; answers keep two of them clear of their due time.
+    #[allow(clippy::too_many_arguments)] // each part takes its own few figures; no record holds them all
     pub fn new(
         now: Us, seed: u64, step: Us, stop_mode: StopMode, methods: Vec<Method>, accounts: Accounts,
         target: Target, calls: Calls, keys: Keys, memory: Memory, drain: Drain, credit: Credit,
@@ -509,35 +453,14 @@
     ) -> Control {
         let costs = methods.iter().map(|m| Cost::new(m.latency_target as f64 * FIRST_COST)).collect();
         let dearest = methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
-        let (hold, out) = (Hold::default(), Outcome::default());
+        let (chance, hold, out, rpcs) =
+            (WyRand::new_seed(seed), Hold::default(), Outcome::default(), BTreeMap::new());
+        let (alarms, at_call, parallel) = (BTreeSet::new(), BTreeSet::new(), BTreeMap::new());
+        let (running, last_end, stalled, beat, woken_at, seq) = (0, now, false, now, Us::MAX, 0);
+        #[rustfmt::skip]
         let mut control = Control {
-            now,
-            chance: WyRand::new_seed(seed),
-            step,
-            stop_mode,
-            methods,
-            dearest,
-            costs,
-            accounts,
-            target,
-            hold,
-            calls,
-            keys,
-            memory,
-            drain,
-            credit,
-            shares,
-            rpcs: BTreeMap::new(),
-            alarms: BTreeSet::new(),
-            at_call: BTreeSet::new(),
-            parallel: BTreeMap::new(),
-            running: 0,
-            last_end: now,
-            stalled: false,
-            beat: now,
-            woken_at: Us::MAX,
-            seq: 0,
-            out,
+            now, chance, step, stop_mode, methods, dearest, costs, accounts, target, hold, calls, keys, memory, drain,
+            credit, shares, rpcs, alarms, at_call, parallel, running, last_end, stalled, beat, woken_at, seq, out,
         };
         control.share_out();
         control
@@ -545,36 +468,28 @@
 
     /// The start: what to publish and when to wake first.
     pub fn started(&mut self) -> Outcome {
-        self.settle(self.now)
+        self.settle()
     }
 
     /// An RPC was read and is held from now on.
     pub fn rpc_read(&mut self, now: Us, arrival: Arrival, tenant: Option<usize>) -> Outcome {
         self.pass_time(now);
         self.take(arrival, tenant);
-        self.settle(now)
+        self.settle()
     }
 
     /// No one waits for this RPC any longer. Held ones are over; the rest end with `run_ended`.
     pub fn caller_gone(&mut self, now: Us, id: RpcId) -> Outcome {
         self.pass_time(now);
-        match self.rpcs.get(&id).map(|r| r.stage) {
-            Some(Stage::Held | Stage::Joined) => self.end_unrun(id),
-            Some(Stage::Running) => self.answered(id),
-            Some(_) => {
-                self.off_call(id);
-                self.answered(id);
-            }
-            None => {}
-        }
-        self.settle(now)
+        self.answered(id);
+        self.settle()
     }
 
     /// A run or a join has ended.
     pub fn run_ended(&mut self, now: Us, id: RpcId, end: RunEnd) -> Outcome {
         self.pass_time(now);
         self.finish(id, end);
-        self.settle(now)
+        self.settle()
     }
 
     /// A run can't go on without a call below.
@@ -585,43 +500,40 @@
             self.last_end = now;
             self.wait_for_call(id);
         }
-        self.settle(now)
+        self.settle()
     }
 
     /// A call below has ended.
     pub fn call_ended(&mut self, now: Us, id: RpcId, end: CallEnd) -> Outcome {
         self.pass_time(now);
-        if self.rpcs.get(&id).is_some_and(|r| r.stage == Stage::Calling) {
-            let chance = self.chance.generate::<f64>();
-            self.calls.ended(now, id, end, chance);
+        if let Some(r) = self.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Calling) {
+            let again = self.methods[r.method.0].effect == Effect::Idempotent || end == CallEnd::PushedBack;
+            r.failed_calls += 1;
+            r.may_call = again && r.failed_calls < TRIES;
+            self.calls.ended(now, id, end, self.chance.generate::<f64>());
             if end == CallEnd::Ok {
+                r.failed_calls = 0;
                 self.on_cores(id);
             } else {
-                let idempotent =
-                    self.rpcs.get(&id).is_some_and(|r| self.methods[r.method.0].effect == Effect::Idempotent);
-                if let Some(r) = self.rpcs.get_mut(&id) {
-                    r.failed_calls += 1;
-                    r.may_call_again = idempotent || end == CallEnd::PushedBack;
-                }
                 self.wait_for_call(id);
             }
         }
-        self.settle(now)
+        self.settle()
     }
 
     /// The notice to leave: the process is stopped at `kill`.
     pub fn drain(&mut self, now: Us, kill: Us) -> Outcome {
         self.pass_time(now);
-        self.drain.notice = Some((now, kill));
-        let ids: Vec<RpcId> = self.rpcs.keys().copied().collect();
-        for id in ids {
-            let due = self.rpcs[&id].due.min(kill.saturating_sub(2 * self.step));
-            self.rpcs.entry(id).and_modify(|r| r.due = due);
-            let alarm = self.rpcs[&id].alarm.min(due);
+        let last = kill.saturating_sub(2 * self.step);
+        self.drain.notice = Some((now, last));
+        for id in self.rpcs.iter().filter(|(_, r)| !r.answered).map(|(id, _)| *id).collect::<Vec<_>>() {
+            let Some(r) = self.rpcs.get_mut(&id) else { continue };
+            (r.due, r.last_good) = (r.due.min(last), r.last_good.min(last));
+            let alarm = r.alarm.min(last);
             self.set_alarm(id, alarm);
         }
         self.out.log.push("notice to leave".into());
-        self.settle(now)
+        self.settle()
     }
 
     /// A wake asked for has come.
@@ -633,13 +545,11 @@
         if now >= self.beat {
             self.beat = now + ACTIVE / BEATS;
             let keys = self.keys.used(now);
-            if let Some(share) = gauges.heap_share {
-                self.memory.compare(share, keys);
-            }
+            self.memory.compare(gauges.heap_share.unwrap_or(0.0), keys);
             self.target.adjust(now, gauges, self.running as f64);
             self.share_out();
         }
-        self.settle(now)
+        self.settle()
     }
 
     fn share_out(&mut self) {
@@ -649,229 +559,167 @@
 
     /// Integrals up to now: parallel_reqs over target of each band (with those that rank above it), and calls.
     fn pass_time(&mut self, now: Us) {
-        let passed = now.saturating_sub(self.now) as f64 * 1e3;
-        let mut above = 0.0;
+        let (passed, mut above) = (now.saturating_sub(self.now) as f64 * 1e3, 0.0);
         for (running, integral) in self.parallel.values_mut() {
             above += *running as f64;
             *integral += (above - self.target.target) * passed;
         }
-        self.calls.pass_time(now);
+        self.calls.pass_time(now, passed / 1e3);
         self.now = now.max(self.now);
     }
 
     fn take(&mut self, a: Arrival, tenant: Option<usize>) {
-        let (now, m) = (self.now, a.method.0);
+        let (now, m, id) = (self.now, &self.methods[a.method.0], a.id);
+        let cost = &self.costs[a.method.0];
+        let (max_cost, work, whole) = (cost.max_cost() * 1e3, cost.mean(), cost.whole);
         self.credit.unread.add(now, a.unread as f64);
         self.credit.read.add(now, 1.0);
-        let method = self.methods[m].clone();
         let arrived = now.saturating_sub(a.unread);
-        let mut due = a.due.unwrap_or(arrived + method.deadline).max(now).saturating_sub(2 * self.step);
-        if let Some((_, kill)) = self.drain.notice {
-            due = due.min(kill.saturating_sub(2 * self.step));
-        }
-        let good_by = arrived + method.latency_target;
-        let worth = method.criticality * self.shares.worth(now, tenant);
-        let max_cost = self.costs[m].max_cost() * 1e3;
-        if let Some(account) = self.accounts.of.get_mut(&a.caller) {
-            account.last_seen = now;
-        }
-        let work = self.costs[m].mean();
-        self.seq += 1;
-        self.rpcs.insert(
-            a.id,
-            Rpc {
-                method: a.method,
-                caller: a.caller,
-                due,
-                good_by,
-                kb: a.size_kb,
-                taken: 0.0,
-                band: Reverse((worth * 1e6) as u64),
-                fill: Reverse(0),
-                seq: self.seq,
-                work,
-                stage: Stage::Held,
-                begun: now,
-                since: now,
-                served: 0.0,
-                penalty: 0.0,
-                mark: 0.0,
-                answered: false,
-                stopped: false,
-                alarm: Us::MAX,
-                failed_calls: 0,
-                may_call_again: true,
-            },
-        );
-        self.memory.used += a.size_kb;
-        let prior = a.prior.filter(|_| method.effect != Effect::NonIdempotent);
-        if prior.is_some() {
-            self.rpcs.entry(a.id).and_modify(|r| r.stage = Stage::Joined);
-            self.out.joins.push(a.id);
-            self.set_alarm(a.id, due);
-            return;
-        }
+        let mut due = a.due.unwrap_or(arrived + m.deadline).saturating_sub(2 * self.step);
         let late = self.drain.notice.is_some_and(|(notice, _)| arrived >= notice + self.drain.grace);
-        let keys = self.keys.used(now);
-        let kept = if method.effect == Effect::Tokened { method.window.saturating_sub(a.unread) } else { 0 };
-        let no_room = !self.memory.fits(keys + if kept > 0 { self.keys.kb } else { 0.0 }, 0.0);
-        let wait = self.hold.ahead(self.rpcs[&a.id].band) / self.target.target;
-        let hopeless =
-            now as f64 + wait + self.costs[m].whole > self.last_good(a.id) as f64 && self.running > 0;
-        let (buf_value, full) = {
-            let buf = self.accounts.recharge(now, a.caller).buf_value;
-            (buf, self.running as f64 >= self.target.target && !self.hold.order.is_empty())
+        due = self.drain.notice.map_or(due, |(_, last)| due.min(last));
+        let last_good = if m.late_share > 0.0 { due } else { due.min(arrived + m.latency_target) };
+        let worth = m.criticality * self.shares.worth(now, tenant);
+        self.seq += 1;
+        let mut place = (Reverse((worth * 1e6) as u64), Reverse(0), self.seq, id);
+        let (tokened, window) = (m.effect == Effect::Tokened, m.window.saturating_sub(a.unread));
+        #[rustfmt::skip]
+        let mut rpc = Rpc {
+            method: a.method, caller: a.caller, stage: Stage::Held, place, due, last_good, alarm: Us::MAX,
+            size_kb: a.size_kb, work, taken: 0.0, begun: now, since: (now, 0.0), served: 0.0, penalty: 0.0,
+            answered: false, failed_calls: 0, may_call: true,
         };
-        if late || no_room || now >= due || hopeless || self.stalled {
-            self.push_back(a.id, hopeless && !self.stalled);
-            return;
+        self.memory.used += a.size_kb;
+        if a.prior.is_some() && m.effect != Effect::NonIdempotent && now < due {
+            rpc.stage = Stage::Joined;
+            self.rpcs.insert(id, rpc);
+            self.out.joins.push(id);
+            return self.set_alarm(id, due);
+        }
+        self.rpcs.insert(id, rpc);
+        let keys = self.keys.used(now) + if tokened { self.keys.kb } else { 0.0 };
+        let wait = self.hold.ahead(place.0) / self.target.target;
+        let hopeless = now as f64 + wait + whole > last_good as f64 && self.running > 0;
+        if late || now >= due || !self.memory.fits(keys, 0.0) || hopeless || self.stalled {
+            return self.push_back(id, hopeless && !self.stalled);
         }
         let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / self.dearest);
-        if full && buf_value < max_cost + reserve {
+        let full = self.running as f64 >= self.target.target && !self.hold.order.is_empty();
+        if full && self.accounts.recharge(now, a.caller).buf_value < max_cost + reserve {
             // The account refuses by criticality: its lowest held RPC leaves in place of a newcomer above it.
-            let band = self.rpcs[&a.id].band;
-            let low = self.hold.order.iter().rev().take_while(|p| p.0 > band);
-            let low = low.map(|p| p.3).find(|id| self.rpcs[id].caller == a.caller);
-            self.push_back(low.unwrap_or(a.id), true);
-            if low.is_none() {
+            let low = self.hold.order.iter().rev().take_while(|p| p.0 > place.0).map(|p| p.3);
+            let low = low.into_iter().find(|id| self.rpcs[id].caller == a.caller).unwrap_or(id);
+            self.push_back(low, true);
+            if low == id {
                 return;
             }
         }
         let (taken, fill) = self.accounts.take(now, a.caller, max_cost);
-        if kept > 0 {
-            self.keys.keep(a.id, now + kept + self.step);
-            self.out.keeps.push((a.id, kept + self.step));
-        }
-        let alarm = self.last_good(a.id).saturating_sub(self.costs[m].whole as Us).min(due);
-        if let Some(r) = self.rpcs.get_mut(&a.id) {
-            (r.taken, r.fill) = (taken, Reverse((fill * 1e6) as u64));
-            self.hold.put((r.band, r.fill, r.seq, a.id), r.work);
+        place.1 = Reverse((fill * 1e6) as u64);
+        self.rpcs.entry(id).and_modify(|r| (r.taken, r.place) = (taken, place));
+        self.hold.put(place, work);
+        if tokened {
+            self.keys.keep(id, now + window + self.step);
+            self.out.keeps.push((id, window + self.step));
         }
-        self.set_alarm(a.id, alarm.max(now));
-    }
-
-    /// When an answer still earns something.
-    fn last_good(&self, id: RpcId) -> Us {
-        self.rpcs.get(&id).map_or(0, |r| {
-            if self.methods[r.method.0].late_share > 0.0 {
-                r.due
-            } else {
-                r.good_by.min(r.due)
-            }
-        })
+        self.set_alarm(id, last_good.saturating_sub(whole as Us).max(now));
     }
 
     fn set_alarm(&mut self, id: RpcId, at: Us) {
         if let Some(r) = self.rpcs.get_mut(&id) {
             self.alarms.remove(&(r.alarm, id));
             r.alarm = at;
-            self.alarms.insert((at, id));
+            if !r.answered {
+                self.alarms.insert((at, id));
+            }
         }
     }
 
     fn on_cores(&mut self, id: RpcId) {
-        let due = self.rpcs.get(&id).map_or(0, |r| r.due);
         if let Some(r) = self.rpcs.get_mut(&id) {
-            let band = self.parallel.entry(r.band).or_default();
+            let band = self.parallel.entry(r.place.0).or_default();
             band.0 += 1;
-            (r.stage, r.since, r.mark) = (Stage::Running, self.now, band.1);
             self.running += 1;
+            (r.stage, r.since) = (Stage::Running, (self.now, band.1));
+            let due = r.due;
+            self.set_alarm(id, due);
         }
-        self.set_alarm(id, due);
     }
 
     fn off_cores(&mut self, id: RpcId) {
         if let Some(r) = self.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Running) {
-            let band = self.parallel.entry(r.band).or_default();
+            let band = self.parallel.entry(r.place.0).or_default();
             band.0 -= 1;
-            r.served += (self.now - r.since) as f64;
-            r.penalty += band.1 - r.mark;
             self.running -= 1;
+            r.served += (self.now - r.since.0) as f64;
+            r.penalty += band.1 - r.since.1;
         }
     }
 
+    /// Off the cores until a call is placed, or skipped while there is still time to finish.
     fn wait_for_call(&mut self, id: RpcId) {
-        if let Some(r) = self.rpcs.get_mut(&id) {
-            r.stage = Stage::AtCall;
-            self.at_call.insert((r.band, r.seq, id));
-        }
-    }
-
-    /// At a call, placed or not, and now over.
-    fn off_call(&mut self, id: RpcId) {
-        if let Some(r) = self.rpcs.get(&id) {
-            if r.stage == Stage::Calling {
-                let chance = self.chance.generate::<f64>();
-                self.calls.ended(self.now, id, CallEnd::TimedOut, chance);
-            }
-            self.at_call.remove(&(r.band, r.seq, id));
+        let Some(r) = self.rpcs.get_mut(&id) else { return };
+        r.stage = Stage::AtCall;
+        if !r.answered {
+            self.at_call.insert(r.place);
+            let finish = (self.costs[r.method.0].mean() * FINISH) as Us + 2 * self.step;
+            let alarm = r.last_good.saturating_sub(finish).min(r.due).max(self.now);
+            self.set_alarm(id, alarm);
         }
     }
 
-    /// A final answer was given, or none is owed: running work is stopped, or left to its end.
+    /// A final answer was given, or none is owed. Held work is over, running work is stopped or left to its end.
     fn answered(&mut self, id: RpcId) {
-        if let Some(r) = self.rpcs.get_mut(&id) {
-            r.answered = true;
-            self.alarms.remove(&(r.alarm, id));
-            if r.stage == Stage::Running && self.stop_mode != StopMode::Off && !r.stopped {
-                r.stopped = true;
-                self.out.stops.push(id);
+        let Some(r) = self.rpcs.get_mut(&id).filter(|r| !r.answered) else { return };
+        r.answered = true;
+        self.alarms.remove(&(r.alarm, id));
+        self.at_call.remove(&r.place);
+        match r.stage {
+            Stage::Held | Stage::Joined => self.end_unrun(id),
+            Stage::Running if self.stop_mode != StopMode::Off => self.out.stops.push(id),
+            Stage::Calling => {
+                r.stage = Stage::AtCall;
+                self.calls.ended(self.now, id, CallEnd::TimedOut, self.chance.generate::<f64>());
             }
+            _ => {}
         }
     }
 
     /// An RPC that never ran leaves: its account gets back what was taken.
     fn end_unrun(&mut self, id: RpcId) {
-        if let Some(r) = self.rpcs.remove(&id) {
-            self.alarms.remove(&(r.alarm, id));
-            self.hold.drop((r.band, r.fill, r.seq, id), r.work);
-            self.memory.used -= r.kb;
-            if r.taken > 0.0 {
-                self.accounts.correct(self.now, r.caller, r.taken, 0.0, 0.0);
-            }
-            if r.stage == Stage::Held && self.keys.forget(id) {
-                self.out.forgets.push(id);
-            }
+        let Some(r) = self.rpcs.remove(&id) else { return };
+        self.alarms.remove(&(r.alarm, id));
+        self.hold.drop(r.place, r.work);
+        self.memory.used -= r.size_kb;
+        if r.taken > 0.0 {
+            self.accounts.correct(self.now, r.caller, r.taken, 0.0, 0.0);
+        }
+        if self.keys.forget(id) {
+            self.out.forgets.push(id);
         }
     }
 
     fn push_back(&mut self, id: RpcId, terminal: bool) {
-        let short = (self.costs[0].max_cost() * 1e6 / self.accounts.mrr) as Us;
-        let come_back = short.min(self.credit.come_back);
+        let dear = self.rpcs.get(&id).map_or(0.0, |r| self.costs[r.method.0].max_cost());
+        let come_back = ((dear * 1e6 / self.accounts.mrr) as Us).min(self.credit.come_back);
         self.out.answers.push((id, Answer::PushedBack { terminal, come_back }));
-        self.end_unrun(id);
-    }
-
-    fn abort(&mut self, id: RpcId) {
-        self.out.answers.push((id, Answer::Aborted));
-        match self.rpcs.get(&id).map(|r| r.stage) {
-            Some(Stage::Held | Stage::Joined) => self.end_unrun(id),
-            Some(Stage::Running) => self.answered(id),
-            _ => {
-                self.off_call(id);
-                self.answered(id);
-            }
-        }
+        self.answered(id);
     }
 
     fn finish(&mut self, id: RpcId, end: RunEnd) {
         self.off_cores(id);
-        self.off_call(id);
+        self.answered(id);
+        self.out.stops.retain(|stop| *stop != id);
         let Some(r) = self.rpcs.remove(&id) else { return };
-        self.alarms.remove(&(r.alarm, id));
-        if r.stage == Stage::Joined {
-            self.memory.used -= r.kb;
-            return;
-        }
         self.last_end = self.now;
-        self.memory.used -= r.kb * self.memory.factor;
-        let real = match end {
+        self.memory.used -= r.size_kb * self.memory.factor;
+        let real_cost = match end {
             // A quick failure spent what it was taken for: it must not refill the account.
             RunEnd::Aborted => r.taken,
             RunEnd::NotStarted => 0.0,
             _ => r.served * 1e3,
         };
-        self.accounts.correct(self.now, r.caller, r.taken, real, r.penalty * PENALTY);
+        self.accounts.correct(self.now, r.caller, r.taken, real_cost, r.penalty * PENALTY);
         if end == RunEnd::Ok {
             let calm = self.running as f64 <= self.target.cores;
             let cost = &mut self.costs[r.method.0];
@@ -880,53 +728,36 @@
         }
     }
 
-    fn settle(&mut self, now: Us) -> Outcome {
+    fn settle(&mut self) -> Outcome {
         while RULES.iter().any(|rule| rule(self)) {}
         self.publish();
-        let next = self.alarms.first().map_or(self.beat, |(t, _)| self.beat.min(*t)).max(now + 1);
+        let next = self.alarms.first().map_or(self.beat, |(t, _)| self.beat.min(*t)).max(self.now + 1);
         if next < self.woken_at {
             self.woken_at = next;
-            self.out.wake = Some(next - now);
+            self.out.wake = Some(next - self.now);
         }
         std::mem::take(&mut self.out)
     }
 
     fn publish(&mut self) {
-        let leaving = self.drain.notice.is_some();
-        let healthy = !leaving && !self.stalled;
+        let healthy = self.drain.notice.is_none() && !self.stalled;
         if self.credit.healthy != Some(healthy) {
             self.credit.healthy = Some(healthy);
             self.out.health = Some(healthy);
         }
-        let target = self.target.target;
         // Guards against arrivals outrunning the reading: what callers send is cut as the time unread grows.
         let unread = self.credit.unread.read(self.now) / self.credit.read.read(self.now).max(1.0);
-        let crowd = (unread / self.credit.fine).max(1.0);
+        let (crowd, target) = ((unread / self.credit.fine).max(1.0), self.target.target);
         let idle = (self.running as f64) < target && self.hold.order.is_empty() && crowd <= 1.0;
-        let open = if leaving || self.stalled {
-            0.0
-        } else if idle {
-            self.target.max_parallel_reqs(self.now)
-        } else {
-            (target * (1.0 + HOLD_ROOM) + self.calls.in_hand(self.now)) / self.accounts.active / crowd
-        };
+        let share = if idle { 1.0 } else { target / (target + self.hold.order.len() as f64) / crowd };
+        let open = if healthy { share } else { 0.0 };
         let value = match self.credit.say {
             Say::Off => return,
-            Say::Credit => open,
-            Say::Threshold => {
-                if leaving {
-                    1.0
-                } else {
-                    0.0
-                }
-            }
-            Say::ShareOf => {
-                if leaving {
-                    0.0
-                } else {
-                    1.0
-                }
-            }
+            Say::Credit if !healthy => 0.0,
+            Say::Credit if idle => self.target.max_parallel_reqs(self.now),
+            Say::Credit => (target + self.calls.in_hand(self.now)) / self.accounts.active / crowd,
+            Say::Threshold => 1.0 - open,
+            Say::ShareOf => open,
         };
         if (value - self.credit.said).abs() > CREDIT_STEP * self.credit.said.max(0.0) {
             self.credit.said = value;
@@ -934,68 +765,74 @@
         }
     }
 
+    /// What falls due is answered. A held RPC that can't be ok in time any more is pushed back; at a call that can
+    /// be skipped, what remains is done without it.
+    fn rule_due(&mut self) -> bool {
+        let Some((_, id)) = self.alarms.first().copied().filter(|(t, _)| *t <= self.now) else {
+            return false;
+        };
+        match self.rpcs.get(&id) {
+            Some(r) if r.stage == Stage::Held => self.push_back(id, true),
+            Some(r) if r.stage == Stage::AtCall && self.skippable(r) => self.skip(id),
+            _ => {
+                self.out.answers.push((id, Answer::Aborted));
+                self.answered(id);
+            }
+        }
+        true
+    }
+
     /// Guards against work that stops finishing (a hang, a slow core): nothing new is taken until a run ends.
     /// It also covers a pause. Harm: a rare run of several times its cost with no other beside it.
     fn rule_stall(&mut self) -> bool {
-        let slowest = self.costs.iter().map(Cost::max_cost).fold(0.0, f64::max);
-        let stalled = self.running > 0 && (self.now - self.last_end) as f64 > STALL * slowest;
         if self.running == 0 {
             self.last_end = self.now;
         }
+        let slowest = self.costs.iter().map(Cost::max_cost).fold(0.0, f64::max);
+        let stalled = (self.now - self.last_end) as f64 > STALL * slowest;
         let moved = stalled != self.stalled;
-        self.stalled = stalled;
         if moved {
+            self.stalled = stalled;
             self.out.log.push(if stalled { "work stopped finishing" } else { "work finishes again" }.into());
         }
         moved
     }
 
-    /// What falls due is answered; a held RPC that can't be ok in time any more is pushed back at once.
-    fn rule_due(&mut self) -> bool {
-        let Some((_, id)) = self.alarms.first().copied().filter(|(t, _)| *t <= self.now) else {
-            return false;
-        };
-        if self.rpcs.get(&id).is_some_and(|r| r.stage == Stage::Held) {
-            self.push_back(id, true);
-        } else {
-            self.abort(id);
+    fn skippable(&self, r: &Rpc) -> bool {
+        self.methods[r.method.0].skip_share > 0.0 && self.now < r.last_good
+    }
+
+    fn skip(&mut self, id: RpcId) {
+        if let Some(r) = self.rpcs.get(&id) {
+            self.at_call.remove(&r.place);
+            self.out.skips.push(id);
+            self.on_cores(id);
         }
-        true
     }
 
-    /// A call is placed within the bound, skipped when waiting would cost more, or left waiting.
+    /// A call is placed within the bound; it is skipped, or the RPC given up, once calling has no prospect.
     fn rule_call(&mut self) -> bool {
-        let now = self.now;
-        let first = self.at_call.iter().next().copied();
-        let Some((band, seq, id)) = first else { return false };
-        let Some(r) = self.rpcs.get(&id) else { return self.at_call.remove(&(band, seq, id)) };
-        let m = &self.methods[r.method.0];
-        let until = if m.late_share > 0.0 { r.due } else { r.good_by.min(r.due) };
-        let left = until.saturating_sub(now) as f64 - self.costs[r.method.0].mean() / 2.0;
-        let wait = (if m.skip_share > 0.0 { left * CALL_SHARE } else { left }).max(0.0) as Us;
-        let may = r.may_call_again && r.failed_calls < 2;
-        if may && wait > 10 * self.step && !self.calls.shut(now) && self.calls.room(now) {
-            self.at_call.remove(&(band, seq, id));
+        let shut = self.calls.shut(self.now);
+        let room = !shut && self.calls.room(self.now);
+        let ready = |p: &&Place| {
+            self.rpcs.get(&p.3).is_some_and(|r| room || !r.may_call || shut && self.skippable(r))
+        };
+        let Some(place) = self.at_call.iter().find(ready).copied() else { return false };
+        let (id, r) = (place.3, &self.rpcs[&place.3]);
+        let wait = r.alarm.saturating_sub(self.now);
+        if room && r.may_call && wait > 0 {
+            self.at_call.remove(&place);
             self.calls.placed += 1;
-            if self.calls.failures >= FAILURES {
-                self.calls.trial = Some(id);
-            }
+            self.calls.trial = Some(id).filter(|_| self.calls.failures >= FAILURES);
             self.out.calls.push((id, wait));
+            let due = r.due;
             self.rpcs.entry(id).and_modify(|r| r.stage = Stage::Calling);
-            return true;
-        }
-        let skip = m.skip_share > 0.0;
-        if skip {
-            self.at_call.remove(&(band, seq, id));
-            self.out.skips.push(id);
-            self.on_cores(id);
-            return true;
-        }
-        if !may || wait <= 10 * self.step {
-            self.abort(id);
-            return true;
+            self.set_alarm(id, due);
+        } else {
+            self.set_alarm(id, self.now);
+            return self.rule_due();
         }
-        false
+        true
     }
 
     /// The first in the hold starts while fewer than max_parallel_reqs run and its memory fits.
@@ -1004,18 +841,16 @@
             return false;
         }
         let Some(place) = self.hold.order.first().copied() else { return false };
-        let id = place.3;
-        let Some(r) = self.rpcs.get(&id) else { return self.hold.order.remove(&place) };
-        let (more, work) = (r.kb * (self.memory.factor - 1.0), r.work);
-        let keys = self.keys.used(self.now);
+        let r = &self.rpcs[&place.3];
+        let (more, work, keys) = (r.size_kb * (self.memory.factor - 1.0), r.work, self.keys.used(self.now));
         if !self.memory.fits(keys, more) {
             return false;
         }
         self.memory.used += more;
         self.hold.drop(place, work);
-        self.rpcs.entry(id).and_modify(|r| r.begun = self.now);
-        self.on_cores(id);
-        self.out.runs.push(id);
+        self.rpcs.entry(place.3).and_modify(|r| r.begun = self.now);
+        self.on_cores(place.3);
+        self.out.runs.push(place.3);
         true
     }
 }
