--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -172,7 +172,7 @@
         Accounts::new(shortest, callers),
         Target::new(now, cores, number(safety, "TipMultiple")?, cold, time(safety, "RampTimeMs")?),
         Calls::new(below, cores, maybe_time(family, "LingerMs")?, shortest),
-        Keys::new(maybe(family, "KbPerKey")?.unwrap_or(0.0), maybe_time(family, "FreshMs")?),
+        Keys::new(maybe(family, "KbPerKey")?.unwrap_or(0.0)),
         Memory::new(number(family, "RamKb")?, factor),
         Drain::new(time(safety, "StopSendingWithinMs")?),
         Credit::new(say, relayed, shortest),
--- a/src/control.rs
+++ b/src/control.rs
@@ -299,15 +299,14 @@
 #[derive(Clone, Debug)]
 pub struct Keys {
     kb: f64,
-    fresh: Us,
     until: BTreeMap<RpcId, Us>,
     ends: BTreeSet<(Us, RpcId)>,
 }
 
 impl Keys {
-    /// `kb`: memory of one entry; `fresh`: how long a read's answer may serve others.
-    pub fn new(kb: f64, fresh: Us) -> Keys {
-        Keys { kb, fresh, until: BTreeMap::new(), ends: BTreeSet::new() }
+    /// `kb`: memory of one entry.
+    pub fn new(kb: f64) -> Keys {
+        Keys { kb, until: BTreeMap::new(), ends: BTreeSet::new() }
     }
     fn keep(&mut self, id: RpcId, until: Us) {
         self.forget(id);
@@ -574,6 +573,9 @@
         let (max_cost, work, whole) = (cost.max_cost() * 1e3, cost.mean(), cost.whole);
         self.credit.unread.add(now, a.unread as f64);
         self.credit.read.add(now, 1.0);
+        let account = self.accounts.recharge(now, a.caller);
+        account.last_seen = now;
+        let buf_value = account.buf_value;
         let arrived = now.saturating_sub(a.unread);
         let mut due = a.due.unwrap_or(arrived + m.deadline).saturating_sub(2 * self.step);
         let late = self.drain.notice.is_some_and(|(notice, _)| arrived >= notice + self.drain.grace);
@@ -605,7 +607,7 @@
         }
         let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / self.dearest);
         let full = self.running as f64 >= self.target.target && !self.hold.order.is_empty();
-        if full && self.accounts.recharge(now, a.caller).buf_value < max_cost + reserve {
+        if full && buf_value < max_cost + reserve {
             // The account refuses by criticality: its lowest held RPC leaves in place of a newcomer above it.
             let low = self.hold.order.iter().rev().take_while(|p| p.0 > place.0).map(|p| p.3);
             let low = low.into_iter().find(|id| self.rpcs[id].caller == a.caller).unwrap_or(id);
