--- a/src/control.rs
+++ b/src/control.rs
@@ -25,6 +25,11 @@
 const RESERVE: f64 = 0.5;
 /// First max_cost of a method, as a share of its latency target.
 const FIRST_COST: f64 = 0.2;
+/// Runs of any method that the server's pace remembers, and the most that one run may say.
+const PACE_MEMORY: f64 = 12.0;
+const PACE_MOST: f64 = 10.0;
+/// Runs still going are on average as old as a mean run lasts; only the excess over twice that is news.
+const OVERDUE: f64 = 0.5;
 /// RPCs that a method's learned cost remembers.
 const COST_MEMORY: f64 = 40.0;
 /// Serving times this far above base mean that the target is too high.
@@ -434,6 +439,8 @@
     at_call: BTreeSet<Place>,
     parallel: BTreeMap<Reverse<u64>, (usize, f64)>,
     running: usize,
+    pace: f64,
+    on: (f64, f64),
     last_end: Us,
     stalled: bool,
     beat: Us,
@@ -456,10 +463,11 @@
             (WyRand::new_seed(seed), Hold::default(), Outcome::default(), BTreeMap::new());
         let (alarms, at_call, parallel) = (BTreeSet::new(), BTreeSet::new(), BTreeMap::new());
         let (running, last_end, stalled, beat, woken_at, seq) = (0, now, false, now, Us::MAX, 0);
+        let (pace, on) = (1.0, (0.0, 0.0));
         #[rustfmt::skip]
         let mut control = Control {
             now, chance, step, stop_mode, methods, dearest, costs, accounts, target, hold, calls, keys, memory, drain,
-            credit, shares, rpcs, alarms, at_call, parallel, running, last_end, stalled, beat, woken_at, seq, out,
+            credit, shares, rpcs, alarms, at_call, parallel, running, pace, on, last_end, stalled, beat, woken_at, seq, out,
         };
         control.share_out();
         control
@@ -567,10 +575,21 @@
         self.now = now.max(self.now);
     }
 
+    /// How many times slower than learned work goes now, from runs that ended and from those that should have.
+    fn pace(&self) -> f64 {
+        let overdue = (self.running as f64 * self.now as f64 - self.on.0) / self.on.1.max(1.0);
+        if self.running > 0 {
+            self.pace.max(overdue * OVERDUE)
+        } else {
+            self.pace
+        }
+    }
+
     fn take(&mut self, a: Arrival, tenant: Option<usize>) {
         let (now, m, id) = (self.now, &self.methods[a.method.0], a.id);
         let cost = &self.costs[a.method.0];
-        let (max_cost, work, whole) = (cost.max_cost() * 1e3, cost.mean(), cost.whole);
+        let pace = self.pace();
+        let (max_cost, work, whole) = (cost.max_cost() * 1e3 * pace, cost.mean(), cost.whole * pace);
         self.credit.unread.add(now, a.unread as f64);
         self.credit.read.add(now, 1.0);
         let account = self.accounts.recharge(now, a.caller);
@@ -600,7 +619,7 @@
         }
         self.rpcs.insert(id, rpc);
         let keys = self.keys.used(now) + if tokened { self.keys.kb } else { 0.0 };
-        let wait = self.hold.ahead(place.0) / self.target.target;
+        let wait = self.hold.ahead(place.0) * pace / self.target.target;
         let hopeless = now as f64 + wait + whole > last_good as f64 && self.running > 0;
         if late || now >= due || !self.memory.fits(keys, 0.0) || hopeless || self.stalled {
             return self.push_back(id, hopeless && !self.stalled);
@@ -642,6 +661,7 @@
             let band = self.parallel.entry(r.place.0).or_default();
             band.0 += 1;
             self.running += 1;
+            self.on = (self.on.0 + self.now as f64 - r.served, self.on.1 + r.work);
             (r.stage, r.since) = (Stage::Running, (self.now, band.1));
             let due = r.due;
             self.set_alarm(id, due);
@@ -653,6 +673,7 @@
             let band = self.parallel.entry(r.place.0).or_default();
             band.0 -= 1;
             self.running -= 1;
+            self.on = (self.on.0 - r.since.0 as f64 + r.served, self.on.1 - r.work);
             r.served += (self.now - r.since.0) as f64;
             r.penalty += band.1 - r.since.1;
         }
@@ -664,7 +685,7 @@
         r.stage = Stage::AtCall;
         if !r.answered {
             self.at_call.insert(r.place);
-            let finish = (self.costs[r.method.0].mean() * FINISH) as Us + 2 * self.step;
+            let finish = (self.costs[r.method.0].mean() * self.pace * FINISH) as Us + 2 * self.step;
             let alarm = r.last_good.saturating_sub(finish).min(r.due).max(self.now);
             self.set_alarm(id, alarm);
         }
@@ -725,8 +746,10 @@
         if end == RunEnd::Ok {
             let calm = self.running as f64 <= self.target.cores;
             let cost = &mut self.costs[r.method.0];
-            cost.learn(r.served, (self.now - r.begun) as f64, calm);
-            self.target.seen(self.now, r.served, cost.base);
+            self.pace += ((r.served / cost.mean()).min(PACE_MOST) - self.pace) / PACE_MEMORY;
+            let pace = self.pace.max(1.0 / PACE_MOST);
+            cost.learn(r.served / pace, (self.now - r.begun) as f64 / pace, calm);
+            self.target.seen(self.now, r.served, cost.base * pace);
         }
     }
 
