--- a/src/control.rs
+++ b/src/control.rs
@@ -28,6 +28,8 @@
 /// Runs of any method that the server's pace remembers, and the most that one run may say.
 const PACE_MEMORY: f64 = 12.0;
 const PACE_MOST: f64 = 10.0;
+/// A pace within this factor may be chance: work varies by as much as its mean.
+const PACE_NOISE: f64 = 1.6;
 /// Runs still going are on average as old as a mean run lasts; only the excess over twice that is news.
 const OVERDUE: f64 = 0.5;
 /// RPCs that a method's learned cost remembers.
@@ -685,7 +687,7 @@
         r.stage = Stage::AtCall;
         if !r.answered {
             self.at_call.insert(r.place);
-            let finish = (self.costs[r.method.0].mean() * self.pace * FINISH) as Us + 2 * self.step;
+            let finish = (self.costs[r.method.0].mean() * FINISH) as Us + 2 * self.step;
             let alarm = r.last_good.saturating_sub(finish).min(r.due).max(self.now);
             self.set_alarm(id, alarm);
         }
@@ -747,7 +749,7 @@
             let calm = self.running as f64 <= self.target.cores;
             let cost = &mut self.costs[r.method.0];
             self.pace += ((r.served / cost.mean()).min(PACE_MOST) - self.pace) / PACE_MEMORY;
-            let pace = self.pace.max(1.0 / PACE_MOST);
+            let pace = (self.pace / PACE_NOISE).max(1.0);
             cost.learn(r.served / pace, (self.now - r.begun) as f64 / pace, calm);
             self.target.seen(self.now, r.served, cost.base * pace);
         }
