--- a/src/control.rs
+++ b/src/control.rs
@@ -579,7 +579,8 @@
 
     /// How many times slower than learned work goes now, from runs that ended and from those that should have.
     fn pace(&self) -> f64 {
-        let overdue = (self.running as f64 * self.now as f64 - self.on.0) / self.on.1.max(1.0);
+        let few = self.target.cores * self.costs[0].mean();
+        let overdue = (self.running as f64 * self.now as f64 - self.on.0 + few) / (self.on.1 + few);
         if self.running > 0 {
             self.pace.max(overdue * OVERDUE)
         } else {
