--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -172,7 +172,7 @@
         Accounts::new(shortest, callers),
         Target::new(now, cores, number(safety, "TipMultiple")?, cold, time(safety, "RampTimeMs")?),
         Calls::new(below, cores, maybe_time(family, "LingerMs")?, shortest),
-        Keys::new(maybe(family, "KbPerKey")?.unwrap_or(0.0)),
+        Keys::new(maybe(family, "KbPerKey")?.unwrap_or(0.0), maybe_time(family, "FreshMs")?),
         Memory::new(number(family, "RamKb")?, factor),
         Drain::new(time(safety, "StopSendingWithinMs")?),
         Credit::new(say, relayed, shortest),
@@ -200,7 +200,7 @@
 
 fn gauges(item: &Value) -> Gauges {
     let metric = |name| item.get("Metrics").and_then(|m| m.get(name)).and_then(Value::as_f64);
-    Gauges { core_use: metric("core_use"), on_cores: metric("on_cores"), heap_share: metric("heap_share") }
+    Gauges { on_cores: metric("on_cores"), heap_share: metric("heap_share") }
 }
 
 /// Decodes one event into a call of the module.
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,6 +6,7 @@
 //! `Outcome`) is defined in `types.rs`; the wire of the bench ends in `drill/`. After every input `RULES`,
 //! at the end of this file, are gone through in order until none fires. `docs/design.md` has the reasons.
 
+use crate::records::*;
 use crate::types::*;
 use nanorand::{Rng, WyRand};
 use std::cmp::Reverse;
@@ -36,8 +37,6 @@
 const COST_MEMORY: f64 = 40.0;
 /// Serving times this far above base mean that the target is too high.
 const SLOW: f64 = 1.5;
-/// Below this share of busy cores they count as idle.
-const IDLE: f64 = 0.9;
 /// The target's rise and fall at each beat.
 const RISE: f64 = 1.1;
 const FALL: f64 = 0.95;
@@ -64,28 +63,23 @@
 const STALL: f64 = 5.0;
 
 /// What serving an RPC of one method costs, learned from runs that ended ok. In microseconds.
-#[derive(Clone, Debug)]
 struct Cost {
     n: f64,
     sum: f64,
     squares: f64,
     whole: f64,
-    base: f64,
 }
 
 impl Cost {
     fn new(first: f64) -> Cost {
-        Cost { n: 1.0, sum: first, squares: first * first, whole: first * 1.5, base: first }
+        Cost { n: 1.0, sum: first, squares: first * first, whole: first * 1.5 }
     }
-    fn learn(&mut self, served: f64, whole: f64, calm: bool) {
+    fn learn(&mut self, served: f64, whole: f64) {
         let keep = 1.0 - 1.0 / COST_MEMORY;
         self.n = self.n * keep + 1.0;
         self.sum = self.sum * keep + served;
         self.squares = self.squares * keep + served * served;
         self.whole += (whole - self.whole) / self.n.min(COST_MEMORY);
-        if calm {
-            self.base += (served - self.base) / self.n.min(COST_MEMORY);
-        }
     }
     fn mean(&self) -> f64 {
         self.sum / self.n
@@ -96,7 +90,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
 struct Account {
     buf_value: f64,
     buf_correction: f64,
@@ -105,7 +98,6 @@
 }
 
 /// The accounts of the callers, in nanoseconds of serving time.
-#[derive(Clone, Debug)]
 pub struct Accounts {
     of: BTreeMap<CallerId, Account>,
     span: f64,
@@ -130,6 +122,12 @@
         self.buf_limit = (self.mrr * self.span).max(dearest * BUF_RPCS);
     }
 
+    fn seen(&mut self, now: Us, caller: CallerId) -> f64 {
+        let account = self.recharge(now, caller);
+        account.last_seen = now;
+        account.buf_value
+    }
+
     fn recharge(&mut self, now: Us, caller: CallerId) -> &mut Account {
         let (mrr, limit) = (self.mrr, self.buf_limit);
         let fresh = Account { buf_value: limit, buf_correction: 0.0, last_update: now, last_seen: now };
@@ -164,7 +162,6 @@
 }
 
 /// target_parallel_reqs and max_parallel_reqs.
-#[derive(Clone, Debug)]
 pub struct Target {
     cores: f64,
     target: f64,
@@ -172,8 +169,6 @@
     cold_from: f64,
     ramp: f64,
     start: Us,
-    served: Fading,
-    base: Fading,
 }
 
 impl Target {
@@ -181,8 +176,7 @@
     /// warm after `ramp`; `cold_from` is 1 for one that starts warm.
     pub fn new(now: Us, cores: usize, tip: f64, cold_from: f64, ramp: Us) -> Target {
         let (cores, ramp) = (cores.max(1) as f64, ramp.max(1) as f64);
-        let (served, base) = (Fading::new(ACTIVE), Fading::new(ACTIVE));
-        Target { cores, target: cores, tip, cold_from, ramp, start: now, served, base }
+        Target { cores, target: cores, tip, cold_from, ramp, start: now }
     }
     fn survives(&self, now: Us) -> f64 {
         let warmed = (1.0 - self.cold_from) * ((now - self.start) as f64 / self.ramp).min(1.0);
@@ -191,15 +185,9 @@
     fn max_parallel_reqs(&self, now: Us) -> f64 {
         (self.target * HEADROOM).min(self.survives(now)).max(1.0)
     }
-    fn seen(&mut self, now: Us, served: f64, base: f64) {
-        self.served.add(now, served);
-        self.base.add(now, base);
-    }
-    fn adjust(&mut self, now: Us, gauges: Gauges, parallel: f64) {
-        let (served, base) = (self.served.read(now), self.base.read(now));
-        let idle =
-            gauges.on_cores.map(|n| n < self.cores).or(gauges.core_use.map(|u| u < IDLE)).unwrap_or(false);
-        if served > base * SLOW {
+    fn adjust(&mut self, now: Us, gauges: Gauges, parallel: f64, pace: f64) {
+        let idle = gauges.on_cores.is_some_and(|n| n < self.cores);
+        if pace > SLOW {
             self.target *= FALL;
         } else if idle && parallel + 1.0 >= self.target {
             self.target *= RISE;
@@ -210,7 +198,7 @@
 }
 
 /// Held RPCs by criticality, then relative buffer, then age.
-#[derive(Clone, Debug, Default)]
+#[derive(Default)]
 pub struct Hold {
     order: BTreeSet<Place>,
     work: BTreeMap<Reverse<u64>, f64>,
@@ -218,9 +206,8 @@
 
 impl Hold {
     fn put(&mut self, place: Place, work: f64) {
-        if self.order.insert(place) {
-            *self.work.entry(place.0).or_default() += work;
-        }
+        self.order.insert(place);
+        *self.work.entry(place.0).or_default() += work;
     }
     fn drop(&mut self, place: Place, work: f64) {
         if self.order.remove(&place) {
@@ -234,10 +221,9 @@
 }
 
 /// Calls below: the bound on those in hand, and the breaker.
-#[derive(Clone, Debug)]
 pub struct Calls {
-    below: Below,
     bound: f64,
+    window: f64,
     linger: Us,
     pause: f64,
     placed: usize,
@@ -254,12 +240,11 @@
         let (bound, window) = match below {
             Below::Nothing => (f64::INFINITY, 1),
             Below::Shared { share, window } => (share, window),
-            Below::Tier => (CALLS_PER_CORE * cores as f64, 1),
+            Below::Tier => ((CALLS_PER_CORE * cores as f64).floor(), 1),
         };
-        let (pause, mean) = (shortest as f64 * BREAK, Fading::new(window));
-        let lingering = Vec::new();
-        let (failures, open_until, trial) = (0, 0, None);
-        Calls { below, bound, linger, pause, placed: 0, lingering, mean, failures, open_until, trial }
+        let (pause, mean, window) = (shortest as f64 * BREAK, Fading::new(window), window as f64);
+        let (placed, lingering, failures, open_until, trial) = (0, Vec::new(), 0, 0, None);
+        Calls { bound, window, linger, pause, placed, lingering, mean, failures, open_until, trial }
     }
     /// Calls below count until they end; abandoned ones as long as they may linger.
     fn in_hand(&mut self, now: Us) -> f64 {
@@ -269,9 +254,8 @@
     /// Room for one more. A share's fraction is used by a further call while the mean over its window allows.
     fn room(&mut self, now: Us) -> bool {
         let with = self.in_hand(now) + 1.0;
-        let Below::Shared { share, window } = self.below else { return with <= self.bound };
-        with <= share
-            || (with < share + 1.0 && self.mean.read(now) / window as f64 + 1.0 / BEATS as f64 <= share)
+        let spare = self.mean.read(now) / self.window + 1.0 / BEATS as f64 <= self.bound;
+        with <= self.bound || (with < self.bound + 1.0 && spare)
     }
     /// Guards against a layer below that fails or hangs: after failures in a row calls stop and return by single
     /// trials. Harm: some calls that would have been ok are left out for a pause.
@@ -303,38 +287,24 @@
 }
 
 /// The table of keys: what each entry needs, and until when it lives.
-#[derive(Clone, Debug)]
 pub struct Keys {
     kb: f64,
+    fresh: Us,
     until: BTreeMap<RpcId, Us>,
-    ends: BTreeSet<(Us, RpcId)>,
 }
 
 impl Keys {
-    /// `kb`: memory of one entry.
-    pub fn new(kb: f64) -> Keys {
-        Keys { kb, until: BTreeMap::new(), ends: BTreeSet::new() }
-    }
-    fn keep(&mut self, id: RpcId, until: Us) {
-        self.forget(id);
-        self.until.insert(id, until);
-        self.ends.insert((until, id));
-    }
-    fn forget(&mut self, id: RpcId) -> bool {
-        let Some(until) = self.until.remove(&id) else { return false };
-        self.ends.remove(&(until, id))
+    /// `kb`: memory of one entry; `fresh`: how long a read's answer may serve others, 0 for never.
+    pub fn new(kb: f64, fresh: Us) -> Keys {
+        Keys { kb, fresh, until: BTreeMap::new() }
     }
-    fn used(&mut self, now: Us) -> f64 {
-        while let Some((until, id)) = self.ends.first().copied().filter(|(t, _)| *t < now) {
-            self.ends.remove(&(until, id));
-            self.until.remove(&id);
-        }
+    /// Memory in use; entries count until the beat after their end.
+    fn used(&self) -> f64 {
         self.until.len() as f64 * self.kb
     }
 }
 
 /// Memory of held and running RPCs, counted before anything is done.
-#[derive(Clone, Debug)]
 pub struct Memory {
     ram: f64,
     factor: f64,
@@ -360,7 +330,6 @@
 }
 
 /// The notice to leave.
-#[derive(Clone, Debug)]
 pub struct Drain {
     grace: Us,
     notice: Option<(Us, Us)>,
@@ -374,7 +343,6 @@
 }
 
 /// What is told to callers.
-#[derive(Clone, Debug)]
 pub struct Credit {
     say: Say,
     come_back: Us,
@@ -394,7 +362,6 @@
 }
 
 /// Tenants' shares here: what exceeds them is worth less, so it waits behind the rest.
-#[derive(Clone, Debug)]
 pub struct Shares {
     rates: Vec<(f64, f64, Us)>,
     worth: f64,
@@ -439,10 +406,8 @@
     rpcs: BTreeMap<RpcId, Rpc>,
     alarms: BTreeSet<(Us, RpcId)>,
     at_call: BTreeSet<Place>,
-    parallel: BTreeMap<Reverse<u64>, (usize, f64)>,
-    running: usize,
+    cores: Cores,
     pace: f64,
-    on: (f64, f64),
     last_end: Us,
     stalled: bool,
     beat: Us,
@@ -463,13 +428,12 @@
         let dearest = methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
         let (chance, hold, out, rpcs) =
             (WyRand::new_seed(seed), Hold::default(), Outcome::default(), BTreeMap::new());
-        let (alarms, at_call, parallel) = (BTreeSet::new(), BTreeSet::new(), BTreeMap::new());
-        let (running, last_end, stalled, beat, woken_at, seq) = (0, now, false, now, Us::MAX, 0);
-        let (pace, on) = (1.0, (0.0, 0.0));
+        let (alarms, at_call, cores, pace) = (BTreeSet::new(), BTreeSet::new(), Cores::default(), 1.0);
+        let (last_end, stalled, beat, woken_at, seq) = (now, false, now, Us::MAX, 0);
         #[rustfmt::skip]
         let mut control = Control {
-            now, chance, step, stop_mode, methods, dearest, costs, accounts, target, hold, calls, keys, memory, drain,
-            credit, shares, rpcs, alarms, at_call, parallel, running, pace, on, last_end, stalled, beat, woken_at, seq, out,
+            now, chance, step, stop_mode, methods, dearest, costs, accounts, target, hold, calls, keys, memory,
+            drain, credit, shares, rpcs, alarms, at_call, cores, pace, last_end, stalled, beat, woken_at, seq, out,
         };
         control.share_out();
         control
@@ -504,8 +468,8 @@
     /// A run can't go on without a call below.
     pub fn call_needed(&mut self, now: Us, id: RpcId) -> Outcome {
         self.pass_time(now);
-        if self.rpcs.get(&id).is_some_and(|r| r.stage == Stage::Running) {
-            self.off_cores(id);
+        if let Some(r) = self.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Running) {
+            self.cores.leave(r, now);
             self.last_end = now;
             self.wait_for_call(id);
         }
@@ -521,7 +485,7 @@
             r.may_call = again && r.failed_calls < TRIES;
             self.calls.ended(now, id, end, self.chance.generate::<f64>());
             if end == CallEnd::Ok {
-                r.failed_calls = 0;
+                (r.failed_calls, r.may_call) = (0, true);
                 self.on_cores(id);
             } else {
                 self.wait_for_call(id);
@@ -536,10 +500,9 @@
         let last = kill.saturating_sub(2 * self.step);
         self.drain.notice = Some((now, last));
         for id in self.rpcs.iter().filter(|(_, r)| !r.answered).map(|(id, _)| *id).collect::<Vec<_>>() {
-            let Some(r) = self.rpcs.get_mut(&id) else { continue };
-            (r.due, r.last_good) = (r.due.min(last), r.last_good.min(last));
-            let alarm = r.alarm.min(last);
-            self.set_alarm(id, alarm);
+            let r = self.rpcs.entry(id);
+            r.and_modify(|r| (r.due, r.last_good) = (r.due.min(last), r.last_good.min(last)));
+            self.set_alarm(id, self.rpcs[&id].alarm.min(last));
         }
         self.out.log.push("notice to leave".into());
         self.settle()
@@ -553,9 +516,10 @@
         }
         if now >= self.beat {
             self.beat = now + ACTIVE / BEATS;
-            let keys = self.keys.used(now);
+            self.keys.until.retain(|_, until| *until > now);
+            let keys = self.keys.used();
             self.memory.compare(gauges.heap_share.unwrap_or(0.0), keys);
-            self.target.adjust(now, gauges, self.running as f64);
+            self.target.adjust(now, gauges, self.cores.running as f64, self.pace);
             self.share_out();
         }
         self.settle()
@@ -566,26 +530,18 @@
         self.accounts.share_out(self.now, self.target.target, dearest);
     }
 
-    /// Integrals up to now: parallel_reqs over target of each band (with those that rank above it), and calls.
+    /// Brings the integrals up to now.
     fn pass_time(&mut self, now: Us) {
-        let (passed, mut above) = (now.saturating_sub(self.now) as f64 * 1e3, 0.0);
-        for (running, integral) in self.parallel.values_mut() {
-            above += *running as f64;
-            *integral += (above - self.target.target) * passed;
-        }
-        self.calls.pass_time(now, passed / 1e3);
+        let passed = now.saturating_sub(self.now) as f64;
+        self.cores.pass(self.target.target, passed * 1e3);
+        self.calls.pass_time(now, passed);
         self.now = now.max(self.now);
     }
 
     /// How many times slower than learned work goes now, from runs that ended and from those that should have.
     fn pace(&self) -> f64 {
-        let few = self.target.cores * self.costs[0].mean();
-        let overdue = (self.running as f64 * self.now as f64 - self.on.0 + few) / (self.on.1 + few);
-        if self.running > 0 {
-            self.pace.max(overdue * OVERDUE)
-        } else {
-            self.pace
-        }
+        let overdue = self.cores.overdue(self.now, self.target.cores * self.costs[0].mean());
+        (self.pace.max(overdue * OVERDUE) / PACE_NOISE).max(1.0)
     }
 
     fn take(&mut self, a: Arrival, tenant: Option<usize>) {
@@ -595,18 +551,20 @@
         let (max_cost, work, whole) = (cost.max_cost() * 1e3 * pace, cost.mean(), cost.whole * pace);
         self.credit.unread.add(now, a.unread as f64);
         self.credit.read.add(now, 1.0);
-        let account = self.accounts.recharge(now, a.caller);
-        account.last_seen = now;
-        let buf_value = account.buf_value;
+        let buf_value = self.accounts.seen(now, a.caller);
         let arrived = now.saturating_sub(a.unread);
-        let mut due = a.due.unwrap_or(arrived + m.deadline).saturating_sub(2 * self.step);
-        let late = self.drain.notice.is_some_and(|(notice, _)| arrived >= notice + self.drain.grace);
-        due = self.drain.notice.map_or(due, |(_, last)| due.min(last));
+        let (notice, last) = self.drain.notice.unwrap_or((Us::MAX - self.drain.grace, Us::MAX));
+        let late = arrived >= notice + self.drain.grace;
+        let due = a.due.unwrap_or(arrived + m.deadline).saturating_sub(2 * self.step).min(last);
         let last_good = if m.late_share > 0.0 { due } else { due.min(arrived + m.latency_target) };
         let worth = m.criticality * self.shares.worth(now, tenant);
         self.seq += 1;
         let mut place = (Reverse((worth * 1e6) as u64), Reverse(0), self.seq, id);
-        let (tokened, window) = (m.effect == Effect::Tokened, m.window.saturating_sub(a.unread));
+        let keep = match m.effect {
+            Effect::Tokened => m.window.saturating_sub(a.unread) + self.step,
+            Effect::Idempotent if a.key.is_some() && self.keys.fresh > 0 => whole as Us + self.keys.fresh,
+            _ => 0,
+        };
         #[rustfmt::skip]
         let mut rpc = Rpc {
             method: a.method, caller: a.caller, stage: Stage::Held, place, due, last_good, alarm: Us::MAX,
@@ -614,21 +572,24 @@
             answered: false, failed_calls: 0, may_call: true,
         };
         self.memory.used += a.size_kb;
-        if a.prior.is_some() && m.effect != Effect::NonIdempotent && now < due {
+        // A repeat waits for the one it repeats. That one may have run, so a repeat is never pushed back.
+        if a.prior.is_some() && m.effect != Effect::NonIdempotent {
             rpc.stage = Stage::Joined;
             self.rpcs.insert(id, rpc);
-            self.out.joins.push(id);
+            if now < due {
+                self.out.joins.push(id);
+            }
             return self.set_alarm(id, due);
         }
         self.rpcs.insert(id, rpc);
-        let keys = self.keys.used(now) + if tokened { self.keys.kb } else { 0.0 };
+        let keys = self.keys.used() + if keep > 0 { self.keys.kb } else { 0.0 };
         let wait = self.hold.ahead(place.0) * pace / self.target.target;
-        let hopeless = now as f64 + wait + whole > last_good as f64 && self.running > 0;
+        let hopeless = now as f64 + wait + whole > last_good as f64 && self.cores.running > 0;
         if late || now >= due || !self.memory.fits(keys, 0.0) || hopeless || self.stalled {
             return self.push_back(id, hopeless && !self.stalled);
         }
         let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / self.dearest);
-        let full = self.running as f64 >= self.target.target && !self.hold.order.is_empty();
+        let full = self.cores.running as f64 >= self.target.target && !self.hold.order.is_empty();
         if full && buf_value < max_cost + reserve {
             // The account refuses by criticality: its lowest held RPC leaves in place of a newcomer above it.
             let low = self.hold.order.iter().rev().take_while(|p| p.0 > place.0).map(|p| p.3);
@@ -642,9 +603,9 @@
         place.1 = Reverse((fill * 1e6) as u64);
         self.rpcs.entry(id).and_modify(|r| (r.taken, r.place) = (taken, place));
         self.hold.put(place, work);
-        if tokened {
-            self.keys.keep(id, now + window + self.step);
-            self.out.keeps.push((id, window + self.step));
+        if keep > 0 {
+            self.keys.until.insert(id, now + keep);
+            self.out.keeps.push((id, keep));
         }
         self.set_alarm(id, last_good.saturating_sub(whole as Us).max(now));
     }
@@ -661,27 +622,12 @@
 
     fn on_cores(&mut self, id: RpcId) {
         if let Some(r) = self.rpcs.get_mut(&id) {
-            let band = self.parallel.entry(r.place.0).or_default();
-            band.0 += 1;
-            self.running += 1;
-            self.on = (self.on.0 + self.now as f64 - r.served, self.on.1 + r.work);
-            (r.stage, r.since) = (Stage::Running, (self.now, band.1));
+            self.cores.enter(r, self.now);
             let due = r.due;
             self.set_alarm(id, due);
         }
     }
 
-    fn off_cores(&mut self, id: RpcId) {
-        if let Some(r) = self.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Running) {
-            let band = self.parallel.entry(r.place.0).or_default();
-            band.0 -= 1;
-            self.running -= 1;
-            self.on = (self.on.0 - r.since.0 as f64 + r.served, self.on.1 - r.work);
-            r.served += (self.now - r.since.0) as f64;
-            r.penalty += band.1 - r.since.1;
-        }
-    }
-
     /// Off the cores until a call is placed, or skipped while there is still time to finish.
     fn wait_for_call(&mut self, id: RpcId) {
         let Some(r) = self.rpcs.get_mut(&id) else { return };
@@ -720,7 +666,7 @@
         if r.taken > 0.0 {
             self.accounts.correct(self.now, r.caller, r.taken, 0.0, 0.0);
         }
-        if self.keys.forget(id) {
+        if self.keys.until.remove(&id).is_some() {
             self.out.forgets.push(id);
         }
     }
@@ -733,9 +679,11 @@
     }
 
     fn finish(&mut self, id: RpcId, end: RunEnd) {
-        self.off_cores(id);
+        if let Some(r) = self.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Running) {
+            self.cores.leave(r, self.now);
+            r.stage = Stage::AtCall;
+        }
         self.answered(id);
-        self.out.stops.retain(|stop| *stop != id);
         let Some(r) = self.rpcs.remove(&id) else { return };
         self.last_end = self.now;
         self.memory.used -= r.size_kb * self.memory.factor;
@@ -747,12 +695,10 @@
         };
         self.accounts.correct(self.now, r.caller, r.taken, real_cost, r.penalty * PENALTY);
         if end == RunEnd::Ok {
-            let calm = self.running as f64 <= self.target.cores;
             let cost = &mut self.costs[r.method.0];
             self.pace += ((r.served / cost.mean()).min(PACE_MOST) - self.pace) / PACE_MEMORY;
             let pace = (self.pace / PACE_NOISE).max(1.0);
-            cost.learn(r.served / pace, (self.now - r.begun) as f64 / pace, calm);
-            self.target.seen(self.now, r.served, cost.base * pace);
+            cost.learn(r.served / pace, (self.now - r.begun) as f64 / pace);
         }
     }
 
@@ -776,7 +722,7 @@
         // Guards against arrivals outrunning the reading: what callers send is cut as the time unread grows.
         let unread = self.credit.unread.read(self.now) / self.credit.read.read(self.now).max(1.0);
         let (crowd, target) = ((unread / self.credit.fine).max(1.0), self.target.target);
-        let idle = (self.running as f64) < target && self.hold.order.is_empty() && crowd <= 1.0;
+        let idle = (self.cores.running as f64) < target && self.hold.order.is_empty() && crowd <= 1.0;
         let share = if idle { 1.0 } else { target / (target + self.hold.order.len() as f64) / crowd };
         let open = if healthy { share } else { 0.0 };
         let value = match self.credit.say {
@@ -796,12 +742,15 @@
     /// What falls due is answered. A held RPC that can't be ok in time any more is pushed back; at a call that can
     /// be skipped, what remains is done without it.
     fn rule_due(&mut self) -> bool {
-        let Some((_, id)) = self.alarms.first().copied().filter(|(t, _)| *t <= self.now) else {
-            return false;
-        };
+        let first = self.alarms.first().copied().filter(|(t, _)| *t <= self.now);
+        let Some((_, id)) = first else { return false };
         match self.rpcs.get(&id) {
             Some(r) if r.stage == Stage::Held => self.push_back(id, true),
-            Some(r) if r.stage == Stage::AtCall && self.skippable(r) => self.skip(id),
+            Some(r) if r.stage == Stage::AtCall && self.skippable(r) => {
+                self.at_call.remove(&r.place);
+                self.out.skips.push(id);
+                self.on_cores(id);
+            }
             _ => {
                 self.out.answers.push((id, Answer::Aborted));
                 self.answered(id);
@@ -813,31 +762,21 @@
     /// Guards against work that stops finishing (a hang, a slow core): nothing new is taken until a run ends.
     /// It also covers a pause. Harm: a rare run of several times its cost with no other beside it.
     fn rule_stall(&mut self) -> bool {
-        if self.running == 0 {
+        if self.cores.running == 0 {
             self.last_end = self.now;
         }
         let slowest = self.costs.iter().map(Cost::max_cost).fold(0.0, f64::max);
         let stalled = (self.now - self.last_end) as f64 > STALL * slowest;
-        let moved = stalled != self.stalled;
-        if moved {
-            self.stalled = stalled;
+        if stalled != self.stalled {
             self.out.log.push(if stalled { "work stopped finishing" } else { "work finishes again" }.into());
         }
-        moved
+        std::mem::replace(&mut self.stalled, stalled) != stalled
     }
 
     fn skippable(&self, r: &Rpc) -> bool {
         self.methods[r.method.0].skip_share > 0.0 && self.now < r.last_good
     }
 
-    fn skip(&mut self, id: RpcId) {
-        if let Some(r) = self.rpcs.get(&id) {
-            self.at_call.remove(&r.place);
-            self.out.skips.push(id);
-            self.on_cores(id);
-        }
-    }
-
     /// A call is placed within the bound; it is skipped, or the RPC given up, once calling has no prospect.
     fn rule_call(&mut self) -> bool {
         let shut = self.calls.shut(self.now);
@@ -865,12 +804,18 @@
 
     /// The first in the hold starts while fewer than max_parallel_reqs run and its memory fits.
     fn rule_run(&mut self) -> bool {
-        if self.running as f64 + 1.0 > self.target.max_parallel_reqs(self.now) || self.stalled {
+        // All that is at a call may come back to the cores at once: together they stay under the crowd survived.
+        let back = (self.cores.running + self.at_call.len() + self.calls.placed) as f64;
+        let most = self.target.max_parallel_reqs(self.now);
+        if self.stalled
+            || self.cores.running as f64 + 1.0 > most
+            || back + 1.0 > self.target.survives(self.now).max(1.0)
+        {
             return false;
         }
         let Some(place) = self.hold.order.first().copied() else { return false };
         let r = &self.rpcs[&place.3];
-        let (more, work, keys) = (r.size_kb * (self.memory.factor - 1.0), r.work, self.keys.used(self.now));
+        let (more, work, keys) = (r.size_kb * (self.memory.factor - 1.0), r.work, self.keys.used());
         if !self.memory.fits(keys, more) {
             return false;
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! The mechanism, what it keeps of its source and where it departs from it: `docs/design.md`.
 
 mod control;
+mod records;
 mod types;
 
 pub use control::{Accounts, Calls, Control, Credit, Drain, Hold, Keys, Memory, Shares, Target};
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,6 +1,5 @@
 //! Ids, times and the result handed back. No decision is taken here.
 
-use std::cmp::Reverse;
 use std::fmt;
 
 /// A moment or a span in whole microseconds. The clock has no particular start.
@@ -150,8 +149,6 @@
 /// The server's own readings, each 0 or more.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Gauges {
-    /// Share of the cores busy of late.
-    pub core_use: Option<f64>,
     /// All that wants a core now.
     pub on_cores: Option<f64>,
     /// Share of memory in use.
@@ -195,71 +192,3 @@
     /// Lines for the operators' log.
     pub log: Vec<String>,
 }
-
-/// A sum that forgets: brought up to date when read.
-#[derive(Clone, Debug)]
-pub(crate) struct Fading {
-    value: f64,
-    at: Us,
-    span: f64,
-}
-
-impl Fading {
-    pub(crate) fn new(span: Us) -> Fading {
-        Fading { value: 0.0, at: 0, span: span.max(1) as f64 }
-    }
-
-    pub(crate) fn read(&mut self, now: Us) -> f64 {
-        self.value *= (-(now.saturating_sub(self.at) as f64) / self.span).exp();
-        self.at = now;
-        self.value
-    }
-
-    pub(crate) fn add(&mut self, now: Us, amount: f64) {
-        self.value = self.read(now) + amount;
-    }
-}
-
-/// Where an RPC stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Stage {
-    Held,
-    /// Waits for the one that it repeats.
-    Joined,
-    Running,
-    /// Off the cores, waiting for leave to call.
-    AtCall,
-    Calling,
-}
-
-/// Order among the waiting: criticality, then relative buffer, then age.
-pub(crate) type Place = (Reverse<u64>, Reverse<u64>, u64, RpcId);
-
-/// What is known of one RPC in hand.
-#[derive(Clone, Debug)]
-pub(crate) struct Rpc {
-    pub method: MethodId,
-    pub caller: CallerId,
-    pub stage: Stage,
-    pub place: Place,
-    /// When it must have its answer, margin taken off.
-    pub due: Us,
-    /// The last moment at which an ok answer earns anything.
-    pub last_good: Us,
-    /// When it is looked at next.
-    pub alarm: Us,
-    pub size_kb: f64,
-    /// Expected serving time when it was read, in microseconds.
-    pub work: f64,
-    /// Taken from its account, in nanoseconds.
-    pub taken: f64,
-    pub begun: Us,
-    /// On the cores since; the integral of its band at that time.
-    pub since: (Us, f64),
-    /// Serving time in microseconds and congestion penalty so far.
-    pub served: f64,
-    pub penalty: f64,
-    pub answered: bool,
-    pub failed_calls: u32,
-    pub may_call: bool,
-}
