--- a/src/control.rs
+++ b/src/control.rs
@@ -29,17 +29,14 @@
 /// Runs of any method that the server's pace remembers, and the most that one run may say.
 const PACE_MEMORY: f64 = 12.0;
 const PACE_MOST: f64 = 10.0;
-/// A pace within this factor may be chance: work varies by as much as its mean.
+/// A pace within this factor may be chance, within its square for runs still going: work varies by its mean.
 const PACE_NOISE: f64 = 1.6;
-/// Runs still going are on average as old as a mean run lasts; only the excess over twice that is news.
-const OVERDUE: f64 = 0.5;
 /// RPCs that a method's learned cost remembers.
 const COST_MEMORY: f64 = 40.0;
 /// Serving times this far above base mean that the target is too high.
 const SLOW: f64 = 1.5;
-/// The target's rise and fall at each beat.
+/// The target's rise at each beat; it falls half as fast.
 const RISE: f64 = 1.1;
-const FALL: f64 = 0.95;
 /// Beats in the time that callers are counted as active.
 const BEATS: u64 = 10;
 /// Callers heard of within it share the target.
@@ -90,8 +87,8 @@
     }
 }
 
-struct Account {
-    buf_value: f64,
+pub(crate) struct Account {
+    pub(crate) buf_value: f64,
     buf_correction: f64,
     last_update: Us,
     last_seen: Us,
@@ -102,8 +99,8 @@
     of: BTreeMap<CallerId, Account>,
     span: f64,
     active: f64,
-    mrr: f64,
-    buf_limit: f64,
+    pub(crate) mrr: f64,
+    pub(crate) buf_limit: f64,
 }
 
 impl Accounts {
@@ -114,7 +111,7 @@
     }
 
     /// Shares target_parallel_reqs out over the active callers; accounts long unused are forgotten.
-    fn share_out(&mut self, now: Us, target: f64, dearest: f64) {
+    pub(crate) fn share_out(&mut self, now: Us, target: f64, dearest: f64) {
         self.of.retain(|_, a| a.last_seen + 60 * ACTIVE > now);
         let active = self.of.values().filter(|a| a.last_seen + ACTIVE > now).count();
         self.active = active.max(1) as f64;
@@ -122,23 +119,17 @@
         self.buf_limit = (self.mrr * self.span).max(dearest * BUF_RPCS);
     }
 
-    fn seen(&mut self, now: Us, caller: CallerId) -> f64 {
-        let account = self.recharge(now, caller);
-        account.last_seen = now;
-        account.buf_value
-    }
-
-    fn recharge(&mut self, now: Us, caller: CallerId) -> &mut Account {
-        let (mrr, limit) = (self.mrr, self.buf_limit);
+    pub(crate) fn recharge(&mut self, now: Us, caller: CallerId) -> &mut Account {
+        let limit = self.buf_limit;
         let fresh = Account { buf_value: limit, buf_correction: 0.0, last_update: now, last_seen: now };
         let a = self.of.entry(caller).or_insert(fresh);
-        a.buf_value = (a.buf_value + mrr * (now - a.last_update) as f64 / 1e3).min(limit);
+        a.buf_value = (a.buf_value + self.mrr * (now - a.last_update) as f64 / 1e3).min(limit);
         a.last_update = now;
         a
     }
 
     /// Takes max_cost, or what there is of it; hands back what was taken and the relative buffer.
-    fn take(&mut self, now: Us, caller: CallerId, max_cost: f64) -> (f64, f64) {
+    pub(crate) fn take(&mut self, now: Us, caller: CallerId, max_cost: f64) -> (f64, f64) {
         let limit = self.buf_limit;
         let a = self.recharge(now, caller);
         let taken = max_cost.min(a.buf_value);
@@ -147,7 +138,7 @@
     }
 
     /// The source's correction, in its order, on what was really taken.
-    fn correct(&mut self, now: Us, caller: CallerId, taken: f64, real_cost: f64, penalty: f64) {
+    pub(crate) fn correct(&mut self, now: Us, caller: CallerId, taken: f64, real_cost: f64, penalty: f64) {
         let limit = self.buf_limit;
         let a = self.recharge(now, caller);
         a.buf_correction = (a.buf_correction - penalty).min(0.0);
@@ -164,7 +155,7 @@
 /// target_parallel_reqs and max_parallel_reqs.
 pub struct Target {
     cores: f64,
-    target: f64,
+    pub(crate) target: f64,
     tip: f64,
     cold_from: f64,
     ramp: f64,
@@ -172,23 +163,23 @@
 }
 
 impl Target {
-    /// `tip`: running RPCs a core that a warm server survives. A cold one opens at `cold_from` of its speed, is
-    /// warm after `ramp`; `cold_from` is 1 for one that starts warm.
+    /// `tip`: running RPCs a core that a warm server survives. A cold one opens at `cold_from` of its speed
+    /// and is warm after `ramp`; `cold_from` is 1 for one that starts warm.
     pub fn new(now: Us, cores: usize, tip: f64, cold_from: f64, ramp: Us) -> Target {
         let (cores, ramp) = (cores.max(1) as f64, ramp.max(1) as f64);
         Target { cores, target: cores, tip, cold_from, ramp, start: now }
     }
-    fn survives(&self, now: Us) -> f64 {
+    pub(crate) fn survives(&self, now: Us) -> f64 {
         let warmed = (1.0 - self.cold_from) * ((now - self.start) as f64 / self.ramp).min(1.0);
         SAFE * (1.0 + (self.tip - 1.0).max(0.0) * (self.cold_from + warmed)) * self.cores
     }
-    fn max_parallel_reqs(&self, now: Us) -> f64 {
+    pub(crate) fn max_parallel_reqs(&self, now: Us) -> f64 {
         (self.target * HEADROOM).min(self.survives(now)).max(1.0)
     }
-    fn adjust(&mut self, now: Us, gauges: Gauges, parallel: f64, pace: f64) {
+    pub(crate) fn adjust(&mut self, now: Us, gauges: Gauges, parallel: f64, pace: f64) {
         let idle = gauges.on_cores.is_some_and(|n| n < self.cores);
         if pace > SLOW {
-            self.target *= FALL;
+            self.target /= RISE.sqrt();
         } else if idle && parallel + 1.0 >= self.target {
             self.target *= RISE;
         }
@@ -226,12 +217,12 @@
     window: f64,
     linger: Us,
     pause: f64,
-    placed: usize,
+    pub(crate) placed: usize,
     lingering: Vec<Us>,
     mean: Fading,
     failures: u32,
     open_until: Us,
-    trial: Option<RpcId>,
+    pub(crate) trial: Option<RpcId>,
 }
 
 impl Calls {
@@ -252,29 +243,22 @@
         (self.placed + self.lingering.len()) as f64
     }
     /// Room for one more. A share's fraction is used by a further call while the mean over its window allows.
-    fn room(&mut self, now: Us) -> bool {
+    pub(crate) fn room(&mut self, now: Us) -> bool {
         let with = self.in_hand(now) + 1.0;
         let spare = self.mean.read(now) / self.window + 1.0 / BEATS as f64 <= self.bound;
         with <= self.bound || (with < self.bound + 1.0 && spare)
     }
-    /// Guards against a layer below that fails or hangs: after failures in a row calls stop and return by single
-    /// trials. Harm: some calls that would have been ok are left out for a pause.
-    fn shut(&self, now: Us) -> bool {
+    /// Guards against a layer below that fails or hangs: after failures in a row calls stop and return by
+    /// single trials. Harm: some calls that would have been ok are left out for a pause.
+    pub(crate) fn shut(&self, now: Us) -> bool {
         self.failures >= FAILURES && (now < self.open_until || self.trial.is_some())
     }
-    fn pass_time(&mut self, now: Us, passed: f64) {
-        let held = self.placed + self.lingering.len();
-        self.mean.add(now, held as f64 * passed);
-    }
-    fn ended(&mut self, now: Us, id: RpcId, end: CallEnd, chance: f64) {
+    pub(crate) fn ended(&mut self, now: Us, id: RpcId, end: CallEnd, chance: f64) {
         self.placed = self.placed.saturating_sub(1);
         if end == CallEnd::TimedOut {
             self.lingering.push(now + self.linger);
         }
-        let trial = self.trial == Some(id);
-        if trial {
-            self.trial = None;
-        }
+        let trial = self.trial.take_if(|t| *t == id).is_some();
         if end == CallEnd::Ok {
             self.failures = 0;
         } else {
@@ -392,7 +376,6 @@
     step: Us,
     stop_mode: StopMode,
     methods: Vec<Method>,
-    dearest: f64,
     costs: Vec<Cost>,
     accounts: Accounts,
     target: Target,
@@ -425,15 +408,14 @@
         shares: Shares,
     ) -> Control {
         let costs = methods.iter().map(|m| Cost::new(m.latency_target as f64 * FIRST_COST)).collect();
-        let dearest = methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
         let (chance, hold, out, rpcs) =
             (WyRand::new_seed(seed), Hold::default(), Outcome::default(), BTreeMap::new());
         let (alarms, at_call, cores, pace) = (BTreeSet::new(), BTreeSet::new(), Cores::default(), 1.0);
         let (last_end, stalled, beat, woken_at, seq) = (now, false, now, Us::MAX, 0);
         #[rustfmt::skip]
         let mut control = Control {
-            now, chance, step, stop_mode, methods, dearest, costs, accounts, target, hold, calls, keys, memory,
-            drain, credit, shares, rpcs, alarms, at_call, cores, pace, last_end, stalled, beat, woken_at, seq, out,
+            now, chance, step, stop_mode, methods, costs, accounts, target, hold, calls, keys, memory, drain,
+            credit, shares, rpcs, alarms, at_call, cores, pace, last_end, stalled, beat, woken_at, seq, out,
         };
         control.share_out();
         control
@@ -511,9 +493,7 @@
     /// A wake asked for has come.
     pub fn woken(&mut self, now: Us, gauges: Gauges) -> Outcome {
         self.pass_time(now);
-        if now >= self.woken_at {
-            self.woken_at = Us::MAX;
-        }
+        self.woken_at = if now >= self.woken_at { Us::MAX } else { self.woken_at };
         if now >= self.beat {
             self.beat = now + ACTIVE / BEATS;
             self.keys.until.retain(|_, until| *until > now);
@@ -534,14 +514,15 @@
     fn pass_time(&mut self, now: Us) {
         let passed = now.saturating_sub(self.now) as f64;
         self.cores.pass(self.target.target, passed * 1e3);
-        self.calls.pass_time(now, passed);
+        let calls = self.calls.in_hand(now);
+        self.calls.mean.add(now, calls * passed);
         self.now = now.max(self.now);
     }
 
-    /// How many times slower than learned work goes now, from runs that ended and from those that should have.
+    /// How many times slower than learned work goes now: from runs that ended, and that should have.
     fn pace(&self) -> f64 {
         let overdue = self.cores.overdue(self.now, self.target.cores * self.costs[0].mean());
-        (self.pace.max(overdue * OVERDUE) / PACE_NOISE).max(1.0)
+        (self.pace.max(overdue / PACE_NOISE) / PACE_NOISE).max(1.0)
     }
 
     fn take(&mut self, a: Arrival, tenant: Option<usize>) {
@@ -551,7 +532,9 @@
         let (max_cost, work, whole) = (cost.max_cost() * 1e3 * pace, cost.mean(), cost.whole * pace);
         self.credit.unread.add(now, a.unread as f64);
         self.credit.read.add(now, 1.0);
-        let buf_value = self.accounts.seen(now, a.caller);
+        let Account { buf_value, last_seen, .. } = self.accounts.recharge(now, a.caller);
+        *last_seen = now;
+        let buf_value = *buf_value;
         let arrived = now.saturating_sub(a.unread);
         let (notice, last) = self.drain.notice.unwrap_or((Us::MAX - self.drain.grace, Us::MAX));
         let late = arrived >= notice + self.drain.grace;
@@ -588,14 +571,15 @@
         if late || now >= due || !self.memory.fits(keys, 0.0) || hopeless || self.stalled {
             return self.push_back(id, hopeless && !self.stalled);
         }
-        let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / self.dearest);
+        let top = self.methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
+        let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / top);
         let full = self.cores.running as f64 >= self.target.target && !self.hold.order.is_empty();
         if full && buf_value < max_cost + reserve {
             // The account refuses by criticality: its lowest held RPC leaves in place of a newcomer above it.
-            let low = self.hold.order.iter().rev().take_while(|p| p.0 > place.0).map(|p| p.3);
-            let low = low.into_iter().find(|id| self.rpcs[id].caller == a.caller).unwrap_or(id);
-            self.push_back(low, true);
-            if low == id {
+            let mut low = self.hold.order.iter().rev().take_while(|p| p.0 > place.0).map(|p| p.3);
+            let low = low.find(|id| self.rpcs[id].caller == a.caller);
+            self.push_back(low.unwrap_or(id), true);
+            if low.is_none() {
                 return;
             }
         }
@@ -640,7 +624,7 @@
         }
     }
 
-    /// A final answer was given, or none is owed. Held work is over, running work is stopped or left to its end.
+    /// A final answer was given, or none is owed. Held work is over, running work is stopped or left.
     fn answered(&mut self, id: RpcId) {
         let Some(r) = self.rpcs.get_mut(&id).filter(|r| !r.answered) else { return };
         r.answered = true;
@@ -715,8 +699,7 @@
 
     fn publish(&mut self) {
         let healthy = self.drain.notice.is_none() && !self.stalled;
-        if self.credit.healthy != Some(healthy) {
-            self.credit.healthy = Some(healthy);
+        if self.credit.healthy.replace(healthy) != Some(healthy) {
             self.out.health = Some(healthy);
         }
         // Guards against arrivals outrunning the reading: what callers send is cut as the time unread grows.
@@ -739,8 +722,8 @@
         }
     }
 
-    /// What falls due is answered. A held RPC that can't be ok in time any more is pushed back; at a call that can
-    /// be skipped, what remains is done without it.
+    /// What falls due is answered. A held RPC that can't be ok in time any more is pushed back; at a call
+    /// that can be skipped, what remains is done without it.
     fn rule_due(&mut self) -> bool {
         let first = self.alarms.first().copied().filter(|(t, _)| *t <= self.now);
         let Some((_, id)) = first else { return false };
@@ -804,7 +787,7 @@
 
     /// The first in the hold starts while fewer than max_parallel_reqs run and its memory fits.
     fn rule_run(&mut self) -> bool {
-        // All that is at a call may come back to the cores at once: together they stay under the crowd survived.
+        // All that is at a call may come back at once: together they stay under the crowd survived.
         let back = (self.cores.running + self.at_call.len() + self.calls.placed) as f64;
         let most = self.target.max_parallel_reqs(self.now);
         if self.stalled
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,8 @@
 
 mod control;
 mod records;
+#[cfg(test)]
+mod tests;
 mod types;
 
 pub use control::{Accounts, Calls, Control, Credit, Drain, Hold, Keys, Memory, Shares, Target};
--- /dev/null
+++ b/src/tests.rs
@@ -0,0 +1,433 @@
+//! Seeded random runs that check the four rules after every step against a count of their own, and plain cases.
+
+use crate::*;
+use quickcheck::{Gen, QuickCheck};
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: Us = 1_000;
+const STEP: Us = 2 * MS;
+const SLACK: Us = 100 * MS;
+const GRACE: Us = 1_000 * MS;
+const CORES: usize = 4;
+
+/// One server as drawn for a run.
+#[derive(Clone, Debug)]
+struct Drawn {
+    effects: Vec<Effect>,
+    skip: f64,
+    late: f64,
+    stop_mode: StopMode,
+    below: Below,
+    say: Say,
+    cold: f64,
+    tip: f64,
+    ram: f64,
+    passes_due: bool,
+}
+
+impl Default for Drawn {
+    fn default() -> Drawn {
+        let (effects, below) = (vec![Effect::Idempotent; 2], Below::Nothing);
+        let (stop_mode, say, ram) = (StopMode::Abort, Say::Credit, 1e6);
+        Drawn {
+            effects,
+            skip: 0.0,
+            late: 0.0,
+            stop_mode,
+            below,
+            say,
+            cold: 1.0,
+            tip: 8.0,
+            ram,
+            passes_due: true,
+        }
+    }
+}
+
+impl Drawn {
+    fn from(g: &mut Gen) -> Drawn {
+        let effects = [Effect::Idempotent, Effect::Tokened, Effect::NonIdempotent];
+        let share = *g.choose(&[0.7, 2.0, 5.5]).unwrap();
+        Drawn {
+            effects: vec![*g.choose(&effects).unwrap(), *g.choose(&effects).unwrap()],
+            skip: *g.choose(&[0.0, 0.5]).unwrap(),
+            late: *g.choose(&[0.0, 0.2]).unwrap(),
+            stop_mode: *g.choose(&[StopMode::Off, StopMode::Abort, StopMode::Suspend]).unwrap(),
+            below: *g
+                .choose(&[Below::Nothing, Below::Tier, Below::Shared { share, window: 5_000 * MS }])
+                .unwrap(),
+            say: *g.choose(&[Say::Off, Say::Credit, Say::Threshold, Say::ShareOf]).unwrap(),
+            cold: *g.choose(&[0.2, 1.0]).unwrap(),
+            tip: *g.choose(&[3.0, 8.0]).unwrap(),
+            ram: *g.choose(&[800.0, 3_000.0, 1e6]).unwrap(),
+            passes_due: *g.choose(&[true, true, false]).unwrap(),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum At {
+    Held,
+    Joined(RpcId),
+    Running,
+    Stalled,
+    Calling(Us),
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    method: usize,
+    arrived: Us,
+    due: Us,
+    at: At,
+    owed: bool,
+    ran: bool,
+    unsafe_call: bool,
+    over: bool,
+}
+
+/// What an onlooker knows of one server; every rule is checked on it, never on the module's own figures.
+struct World {
+    drawn: Drawn,
+    control: Control,
+    now: Us,
+    wakes: BTreeSet<Us>,
+    rpcs: BTreeMap<RpcId, Seen>,
+    keys: BTreeMap<RpcId, Us>,
+    lingering: Vec<Us>,
+    load: Vec<(Us, f64, f64)>,
+    drain: Option<(Us, Us)>,
+    credit: Option<f64>,
+    health: Option<bool>,
+    last: Outcome,
+    next: u64,
+}
+
+const KB: f64 = 10.0;
+const FACTOR: f64 = 4.0;
+const KEY_KB: f64 = 3.0;
+
+impl World {
+    fn new(drawn: Drawn, seed: u64) -> World {
+        let now = 5_000 * MS;
+        let method = |(i, effect): (usize, &Effect)| Method {
+            latency_target: 500 * MS,
+            deadline: 1_500 * MS,
+            effect: *effect,
+            criticality: 1.0 + 2.0 * i as f64,
+            late_share: drawn.late,
+            window: 2_000 * MS,
+            skip_share: drawn.skip,
+        };
+        let methods: Vec<Method> = drawn.effects.iter().enumerate().map(method).collect();
+        let control = Control::new(
+            now,
+            seed,
+            STEP,
+            drawn.stop_mode,
+            methods,
+            Accounts::new(500 * MS, 3),
+            Target::new(now, CORES, drawn.tip, drawn.cold, 3_000 * MS),
+            Calls::new(drawn.below, CORES, 200 * MS, 500 * MS),
+            Keys::new(KEY_KB, 0),
+            Memory::new(drawn.ram, FACTOR),
+            Drain::new(GRACE),
+            Credit::new(drawn.say, 1_000 * MS, 500 * MS),
+            Shares::new(&[], 3, 1.0),
+        );
+        let (wakes, rpcs, keys) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
+        let (lingering, load, last) = (Vec::new(), Vec::new(), Outcome::default());
+        let mut world = World {
+            drawn,
+            control,
+            now,
+            wakes,
+            rpcs,
+            keys,
+            lingering,
+            load,
+            drain: None,
+            credit: None,
+            health: None,
+            last,
+            next: 0,
+        };
+        let first = world.control.started();
+        world.apply(first);
+        world
+    }
+
+    fn id(&self, n: u64) -> RpcId {
+        RpcId::new(&format!("rpc-{n}")).unwrap()
+    }
+
+    fn read(&mut self, method: usize, caller: u64, unread: Us, patience: Us, prior: Option<RpcId>) -> RpcId {
+        let id = self.id(self.next);
+        self.next += 1;
+        let arrived = self.now - unread;
+        let due = if self.drawn.passes_due { arrived + patience } else { arrived + 1_500 * MS };
+        let at = prior.map_or(At::Held, At::Joined);
+        let (due_seen, method_id) = (due.max(self.now), MethodId(method));
+        let seen = Seen {
+            method,
+            arrived,
+            due: due_seen,
+            at,
+            owed: true,
+            ran: false,
+            unsafe_call: false,
+            over: false,
+        };
+        self.rpcs.insert(id, Seen { at: At::Held, ..seen });
+        let due = self.drawn.passes_due.then_some(due);
+        let (caller, size_kb) = (CallerId(caller), KB);
+        let a =
+            Arrival { id, method: method_id, caller, due, size_kb, unread, repeat: false, prior, key: None };
+        let out = self.control.rpc_read(self.now, a, None);
+        self.apply(out);
+        id
+    }
+
+    /// Carries an outcome out as the wire would, checking what it may do.
+    fn apply(&mut self, out: Outcome) {
+        for (id, answer) in &out.answers {
+            let r = self.rpcs.get_mut(id).expect("an RPC that was read");
+            assert!(r.owed, "{id:?} answered twice");
+            r.owed = false;
+            let single = self.drawn.effects[r.method] != Effect::Idempotent;
+            if let Answer::PushedBack { .. } = answer {
+                assert!(!(single && r.ran), "{id:?} pushed back after it ran");
+            }
+            r.over = matches!(r.at, At::Held | At::Joined(_));
+            if let At::Calling(_) = r.at {
+                self.lingering.push(self.now + 200 * MS);
+            }
+            if matches!(r.at, At::Calling(_) | At::Stalled) {
+                r.at = At::Stalled;
+            }
+        }
+        for id in &out.stops {
+            assert!(self.drawn.stop_mode != StopMode::Off);
+            assert!(!self.rpcs[id].owed, "{id:?} stopped with its answer owed");
+        }
+        for id in &out.forgets {
+            self.keys.remove(id);
+        }
+        for (id, span) in &out.keeps {
+            self.keys.insert(*id, self.now + span);
+        }
+        for id in &out.joins {
+            self.rpcs.get_mut(id).unwrap().at = At::Joined(*id);
+        }
+        for id in &out.runs {
+            let r = self.rpcs.get_mut(id).unwrap();
+            assert!(r.at == At::Held && r.owed && !r.ran, "{id:?} started out of turn");
+            assert!(
+                self.drain.is_none_or(|(notice, _)| r.arrived < notice + GRACE),
+                "{id:?} run after the grace"
+            );
+            let tokened = self.drawn.effects[r.method] == Effect::Tokened;
+            assert!(!tokened || self.keys.contains_key(id), "{id:?} run without its key kept");
+            (r.at, r.ran) = (At::Running, true);
+        }
+        for (id, wait) in &out.calls {
+            let r = self.rpcs.get_mut(id).unwrap();
+            assert!(r.at == At::Stalled && r.owed && *wait > 0);
+            assert!(!r.unsafe_call, "{id:?} calls again after a call that may have run");
+            r.at = At::Calling(self.now + wait);
+        }
+        for id in &out.skips {
+            let r = self.rpcs.get_mut(id).unwrap();
+            assert!(r.at == At::Stalled && self.drawn.skip > 0.0);
+            r.at = At::Running;
+        }
+        self.credit = out.credit.or(self.credit);
+        self.health = out.health.or(self.health);
+        assert!(out.credit.is_none() || self.drawn.say != Say::Off);
+        assert!(out.credit.is_none_or(|c| c >= 0.0 && c.is_finite()));
+        self.wakes.extend(out.wake.map(|span| self.now + span));
+        self.last = out;
+        let now = self.now;
+        self.keys.retain(|_, until| *until > now);
+        self.lingering.retain(|until| *until > now);
+        let open = self.rpcs.values().filter(|r| !r.over);
+        let need = |r: &Seen| if matches!(r.at, At::Held | At::Joined(_)) { KB } else { KB * FACTOR };
+        let memory = open.map(need).sum::<f64>() + self.keys.len() as f64 * KEY_KB;
+        assert!(memory <= self.drawn.ram, "memory {memory} over {}", self.drawn.ram);
+        let running = self.count(|r| r.at == At::Running);
+        let calls = self.count(|r| matches!(r.at, At::Calling(_))) + self.lingering.len() as f64;
+        self.load.push((now, running, calls));
+    }
+
+    fn count(&self, of: impl Fn(&Seen) -> bool) -> f64 {
+        self.rpcs.values().filter(|r| !r.over && of(r)).count() as f64
+    }
+
+    /// Mean over a span that ends now.
+    fn mean(&self, span: Us, of: impl Fn(&(Us, f64, f64)) -> f64) -> f64 {
+        let (from, mut sum, mut until) = (self.now.saturating_sub(span), 0.0, self.now);
+        for point in self.load.iter().rev() {
+            sum += of(point) * until.saturating_sub(point.0.max(from)) as f64;
+            until = until.min(point.0.max(from));
+        }
+        sum / span as f64
+    }
+
+    fn check(&self) {
+        for (id, r) in &self.rpcs {
+            assert!(!r.owed || self.now < r.due + SLACK, "{id:?} lost: due {} now {}", r.due, self.now);
+            assert!(
+                !r.owed || self.drain.is_none_or(|(_, kill)| self.now < kill),
+                "{id:?} unanswered at the kill"
+            );
+        }
+        let speed =
+            self.drawn.cold + (1.0 - self.drawn.cold) * (self.now as f64 / 1e3 - 5_000.0).min(3_000.0) / 3e3;
+        let survives = (1.0 + (self.drawn.tip - 1.0) * speed) * CORES as f64;
+        assert!(self.mean(2_000 * MS, |p| p.1) <= survives, "the cores are crowded");
+        if let Below::Shared { share, window } = self.drawn.below {
+            assert!(self.mean(window, |p| p.2) <= share.max(1.0), "the dependency is loaded past our share");
+        }
+    }
+
+    /// Lets time pass, with every wake and time-out on the way.
+    fn pass(&mut self, span: Us) {
+        let until = self.now + span;
+        loop {
+            let wake = self.wakes.first().copied().unwrap_or(Us::MAX);
+            let timeout = |(id, r): (&RpcId, &Seen)| match r.at {
+                At::Calling(at) if !r.over => Some((at, *id)),
+                _ => None,
+            };
+            let call = self.rpcs.iter().filter_map(timeout).min();
+            let next = wake.min(call.map_or(Us::MAX, |(at, _)| at));
+            if next > until {
+                break;
+            }
+            self.now = self.now.max(next);
+            match call {
+                Some((at, id)) if at <= wake => self.end_call(id, CallEnd::TimedOut),
+                _ => {
+                    self.wakes.remove(&wake);
+                    let out = self.control.woken(self.now, Gauges { on_cores: Some(1.0), heap_share: None });
+                    self.apply(out);
+                }
+            }
+            self.check();
+        }
+        self.now = until;
+    }
+
+    fn end_run(&mut self, id: RpcId, end: RunEnd) {
+        let r = self.rpcs.get_mut(&id).unwrap();
+        r.over = true;
+        r.owed &= !matches!(end, RunEnd::Ok | RunEnd::Aborted);
+        let out = self.control.run_ended(self.now, id, end);
+        self.apply(out);
+    }
+
+    fn need_call(&mut self, id: RpcId) {
+        self.rpcs.get_mut(&id).unwrap().at = At::Stalled;
+        let out = self.control.call_needed(self.now, id);
+        self.apply(out);
+    }
+
+    fn end_call(&mut self, id: RpcId, end: CallEnd) {
+        let r = self.rpcs.get_mut(&id).unwrap();
+        r.at = if end == CallEnd::Ok { At::Running } else { At::Stalled };
+        r.unsafe_call |= self.drawn.effects[r.method] != Effect::Idempotent
+            && matches!(end, CallEnd::Aborted | CallEnd::TimedOut);
+        if end == CallEnd::TimedOut {
+            self.lingering.push(self.now + 200 * MS);
+        }
+        let out = self.control.call_ended(self.now, id, end);
+        self.apply(out);
+    }
+
+    fn leave(&mut self, id: RpcId) {
+        let r = self.rpcs.get_mut(&id).unwrap();
+        r.owed = false;
+        r.over = matches!(r.at, At::Held | At::Joined(_));
+        if let At::Calling(_) = r.at {
+            self.lingering.push(self.now + 200 * MS);
+            r.at = At::Stalled;
+        }
+        let out = self.control.caller_gone(self.now, id);
+        self.apply(out);
+    }
+
+    fn pick(&self, n: usize, of: impl Fn(&Seen) -> bool) -> Option<RpcId> {
+        let ids: Vec<RpcId> = self.rpcs.iter().filter(|(_, r)| !r.over && of(r)).map(|(id, _)| *id).collect();
+        ids.get(n % ids.len().max(1)).copied()
+    }
+
+    fn step(&mut self, what: u8, n: usize) {
+        let span = (n as Us % 40) * MS;
+        match what % 16 {
+            0..=4 => {
+                let patience = [40, 300, 1_500][n % 3] * MS;
+                self.read(n % 2, n as u64 % 3, span.min(30 * MS), patience, None);
+            }
+            5 => {
+                let tokened = |r: &Seen| self.drawn.effects[r.method] == Effect::Tokened && r.at == At::Held;
+                if let Some(prior) = self.pick(n, tokened).filter(|id| self.keys.contains_key(id)) {
+                    let method = self.rpcs[&prior].method;
+                    self.read(method, n as u64 % 3, 0, 1_000 * MS, Some(prior));
+                }
+            }
+            6..=8 => {
+                if let Some(id) = self.pick(n, |r| r.at == At::Running) {
+                    let answered = !self.rpcs[&id].owed;
+                    let end = if n % 7 == 0 { RunEnd::Aborted } else { RunEnd::Ok };
+                    self.end_run(id, if answered { RunEnd::Stopped } else { end });
+                }
+            }
+            9 | 10 => {
+                if let Some(id) =
+                    self.pick(n, |r| r.at == At::Running).filter(|_| self.drawn.below != Below::Nothing)
+                {
+                    self.need_call(id);
+                }
+            }
+            11 => {
+                if let Some(id) = self.pick(n, |r| matches!(r.at, At::Calling(_))) {
+                    let ends =
+                        [CallEnd::Ok, CallEnd::Ok, CallEnd::Aborted, CallEnd::TimedOut, CallEnd::PushedBack];
+                    self.end_call(id, ends[n % 5]);
+                }
+            }
+            12 => {
+                if let Some(id) = self.pick(n, |r| !r.owed && r.at == At::Stalled) {
+                    self.end_run(id, RunEnd::Stopped);
+                }
+                if let Some(id) = self.pick(n, |r| r.owed).filter(|_| n % 3 == 0) {
+                    self.leave(id);
+                }
+            }
+            13 if self.drain.is_none() && n % 50 == 0 => {
+                let kill = self.now + 3_000 * MS;
+                self.drain = Some((self.now, kill));
+                let out = self.control.drain(self.now, kill);
+                self.apply(out);
+            }
+            _ => self.pass(span),
+        }
+        self.check();
+    }
+}
+
+#[test]
+fn the_rules_hold_after_every_step() {
+    fn holds(seed: u64, steps: Vec<(u8, u16)>) -> bool {
+        let mut g = Gen::from_size_and_seed(10, seed);
+        let mut world = World::new(Drawn::from(&mut g), seed);
+        for (what, n) in &steps {
+            world.step(*what, usize::from(*n));
+        }
+        world.pass(4_000 * MS);
+        world.check();
+        true
+    }
+    let mut runs = QuickCheck::new().tests(400).rng(Gen::from_size_and_seed(600, 7));
+    runs.quickcheck(holds as fn(u64, Vec<(u8, u16)>) -> bool);
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -65,7 +65,7 @@
 pub enum Below {
     /// Nothing.
     Nothing,
-    /// One dependency of all servers: this server's share of the calls it survives, as a mean over the window.
+    /// One dependency of all servers: our share of the calls it survives, as a mean over the window.
     Shared { share: f64, window: Us },
     /// A tier of servers that run the same decisions; no share is told.
     Tier,
