--- a/src/control.rs
+++ b/src/control.rs
@@ -377,7 +377,7 @@
     stop_mode: StopMode,
     methods: Vec<Method>,
     costs: Vec<Cost>,
-    accounts: Accounts,
+    pub(crate) accounts: Accounts,
     target: Target,
     hold: Hold,
     calls: Calls,
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -7,7 +7,7 @@
 const MS: Us = 1_000;
 const STEP: Us = 2 * MS;
 const SLACK: Us = 100 * MS;
-const GRACE: Us = 1_000 * MS;
+const GRACE: Us = 400 * MS;
 const CORES: usize = 4;
 
 /// One server as drawn for a run.
@@ -404,8 +404,8 @@
                     self.leave(id);
                 }
             }
-            13 if self.drain.is_none() && n % 50 == 0 => {
-                let kill = self.now + 3_000 * MS;
+            13 if self.drain.is_none() && n % 10 == 0 => {
+                let kill = self.now + [600, 3_000][n / 10 % 2] * MS;
                 self.drain = Some((self.now, kill));
                 let out = self.control.drain(self.now, kill);
                 self.apply(out);
@@ -428,6 +428,137 @@
         world.check();
         true
     }
-    let mut runs = QuickCheck::new().tests(400).rng(Gen::from_size_and_seed(600, 7));
+    let mut runs = QuickCheck::new().tests(300).rng(Gen::from_size_and_seed(400, 7));
     runs.quickcheck(holds as fn(u64, Vec<(u8, u16)>) -> bool);
 }
+
+fn quiet() -> World {
+    World::new(Drawn::default(), 1)
+}
+
+fn busy(world: &mut World, runs: usize) -> Vec<RpcId> {
+    (0..runs).map(|_| world.read(0, 0, 0, 1_500 * MS, None)).collect()
+}
+
+#[test]
+fn an_account_recharges_by_mrr_and_is_corrected_in_the_order_of_the_source() {
+    let (caller, mut accounts) = (CallerId(1), Accounts::new(500 * MS, 1));
+    accounts.share_out(0, 4.0, 1e6);
+    assert_eq!((accounts.mrr, accounts.buf_limit), (4e6, 1e9));
+    assert_eq!(accounts.take(0, caller, 6e8), (6e8, 0.4));
+    accounts.correct(0, caller, 6e8, 5e8, 3e8);
+    assert_eq!(accounts.recharge(0, caller).buf_value, 4e8, "the penalty ate the positive correction");
+    accounts.correct(0, caller, 6e8, 1e8, -9e9);
+    assert_eq!(accounts.recharge(0, caller).buf_value, 9e8, "a debt is never turned into a gift");
+    assert_eq!(accounts.recharge(10 * MS, caller).buf_value, 9.4e8);
+    assert_eq!(accounts.recharge(1_000 * MS, caller).buf_value, 1e9, "capped at buf_limit");
+    assert_eq!(accounts.take(1_000 * MS, caller, 3e9).0, 1e9, "no more is taken than there is");
+}
+
+#[test]
+fn a_quick_failure_refills_nothing() {
+    let mut world = quiet();
+    let before = world.control.accounts.recharge(world.now, CallerId(0)).buf_value;
+    let id = world.read(0, 0, 0, 1_500 * MS, None);
+    let taken = before - world.control.accounts.recharge(world.now, CallerId(0)).buf_value;
+    assert!(taken > 0.0);
+    world.end_run(id, RunEnd::Aborted);
+    assert_eq!(before - world.control.accounts.recharge(world.now, CallerId(0)).buf_value, taken);
+}
+
+#[test]
+fn the_hold_goes_by_criticality_then_by_relative_buffer() {
+    let mut world = quiet();
+    let running = busy(&mut world, CORES + 1);
+    let thick = world.read(0, 0, 0, 1_500 * MS, None);
+    let thin = world.read(0, 1, 0, 1_500 * MS, None);
+    let dear = world.read(1, 0, 0, 1_500 * MS, None);
+    for (i, next) in [dear, thin, thick].into_iter().enumerate() {
+        world.end_run(running[i], RunEnd::Ok);
+        assert_eq!(world.rpcs[&next].at, At::Running, "turn {i}");
+    }
+}
+
+#[test]
+fn an_account_short_of_max_cost_is_pushed_back_early_with_a_time_to_come_back() {
+    let mut world = quiet();
+    busy(&mut world, 40);
+    let early = world.rpcs.values().filter(|r| !r.owed).count();
+    assert!(early > 0);
+    let answer = world.last.answers.last().expect("the last one is short").1;
+    assert!(matches!(answer, Answer::PushedBack { come_back, .. } if come_back > 0));
+}
+
+#[test]
+fn the_target_rises_while_cores_idle_and_never_falls_below_cores() {
+    let mut target = Target::new(0, 4, 8.0, 1.0, MS);
+    let idle = Gauges { on_cores: Some(2.0), heap_share: None };
+    target.adjust(MS, idle, 4.0, 1.0);
+    assert!(target.target > 4.0);
+    (0..50).for_each(|_| target.adjust(MS, idle, 99.0, 1.0));
+    assert!(target.max_parallel_reqs(MS) <= target.survives(MS) + 1e-9);
+    (0..500).for_each(|_| target.adjust(MS, idle, 99.0, 9.0));
+    assert_eq!(target.target, 4.0);
+    let cold = Target::new(0, 4, 8.0, 0.2, 1_000 * MS);
+    assert!(cold.survives(0) < cold.survives(500 * MS) && cold.survives(500 * MS) < cold.survives(MS * MS));
+}
+
+#[test]
+fn calls_stop_after_failures_in_a_row_and_return_by_a_single_trial() {
+    let mut calls = Calls::new(Below::Tier, 4, 0, 500 * MS);
+    let id = RpcId::new("a").unwrap();
+    for _ in 0..20 {
+        calls.ended(0, id, CallEnd::Aborted, 0.5);
+    }
+    assert!(calls.shut(100 * MS) && !calls.shut(400 * MS));
+    calls.trial = Some(id);
+    assert!(calls.shut(400 * MS), "one trial at a time");
+    calls.ended(400 * MS, id, CallEnd::TimedOut, 0.5);
+    assert!(calls.shut(500 * MS), "a failed trial opens it again");
+    calls.ended(900 * MS, id, CallEnd::Ok, 0.5);
+    assert!(!calls.shut(900 * MS));
+}
+
+#[test]
+fn work_that_stops_finishing_stops_the_taking_until_a_run_ends() {
+    let mut world = quiet();
+    let running = busy(&mut world, CORES);
+    world.pass(1_200 * MS);
+    assert_eq!(world.health, Some(false));
+    let turned_away = world.read(1, 2, 0, 1_500 * MS, None);
+    assert!(!world.rpcs[&turned_away].owed);
+    world.end_run(running[0], RunEnd::Ok);
+    assert_eq!(world.health, Some(true));
+}
+
+#[test]
+fn an_idle_server_takes_callers_whose_patience_differs() {
+    let mut world = quiet();
+    world.read(0, 0, 0, 1_500 * MS, None);
+    let hasty = world.read(0, 0, 0, 400 * MS, None);
+    assert_eq!(world.rpcs[&hasty].at, At::Running, "a shorter wait is no sign of an old try");
+}
+
+#[test]
+fn credit_is_cut_while_arrivals_lie_unread() {
+    let mut world = quiet();
+    let open = world.credit.unwrap();
+    for _ in 0..4 {
+        world.read(0, 0, 300 * MS, 1_500 * MS, None);
+    }
+    assert!(world.credit.unwrap() < open / 3.0);
+}
+
+#[test]
+fn a_notice_to_leave_turns_health_and_credit_off_and_refuses_what_arrives_late() {
+    let mut world = quiet();
+    let kill = world.now + 3_000 * MS;
+    world.drain = Some((world.now, kill));
+    let out = world.control.drain(world.now, kill);
+    world.apply(out);
+    assert_eq!((world.health, world.credit), (Some(false), Some(0.0)));
+    let early = world.read(0, 0, 0, 1_500 * MS, None);
+    world.pass(GRACE);
+    let late = world.read(0, 1, 0, 1_500 * MS, None);
+    assert!(world.rpcs[&early].ran && !world.rpcs[&late].ran && !world.rpcs[&late].owed);
+}
