--- a/src/control.rs
+++ b/src/control.rs
@@ -14,7 +14,7 @@
 
 /// Runs above the target before RPCs wait: the room between target_parallel_reqs and max_parallel_reqs.
 const HEADROOM: f64 = 1.25;
-/// Share of the crowd and of the memory that the server survives, of which we make use.
+/// Share of the crowd, the memory and the calls below that are survived, of which we make use.
 const SAFE: f64 = 0.8;
 /// buf_limit over MRR, as a share of the shortest latency target: a burst of it still waits in good time.
 const BUF_SPAN: f64 = 0.5;
@@ -49,7 +49,7 @@
 /// Times that a call is tried for one RPC.
 const TRIES: u32 = 2;
 /// Share of a method's mean cost that is kept free after a call to finish in time.
-const FINISH: f64 = 0.75;
+const FINISH: f64 = 1.5;
 /// Mean time unread, as a share of the shortest latency target, above which reading is the bottleneck.
 const UNREAD: f64 = 0.1;
 /// The credit is published when it moved by this share.
@@ -230,7 +230,7 @@
     pub fn new(below: Below, cores: usize, linger: Us, shortest: Us) -> Calls {
         let (bound, window) = match below {
             Below::Nothing => (f64::INFINITY, 1),
-            Below::Shared { share, window } => (share, window),
+            Below::Shared { share, window } => (share * SAFE, window),
             Below::Tier => ((CALLS_PER_CORE * cores as f64).floor(), 1),
         };
         let (pause, mean, window) = (shortest as f64 * BREAK, Fading::new(window), window as f64);
@@ -529,7 +529,9 @@
         let (now, m, id) = (self.now, &self.methods[a.method.0], a.id);
         let cost = &self.costs[a.method.0];
         let pace = self.pace();
-        let (max_cost, work, whole) = (cost.max_cost() * 1e3 * pace, cost.mean(), cost.whole * pace);
+        let (max_cost, work) = (cost.max_cost() * 1e3 * pace, cost.mean());
+        // What can go without its call needs no more time than its own work: a slow layer below is no reason to refuse.
+        let whole = if m.skip_share > 0.0 { work } else { cost.whole } * pace;
         self.credit.unread.add(now, a.unread as f64);
         self.credit.read.add(now, 1.0);
         let Account { buf_value, last_seen, .. } = self.accounts.recharge(now, a.caller);
