--- a/src/control.rs
+++ b/src/control.rs
@@ -31,6 +31,8 @@
 const PACE_MOST: f64 = 10.0;
 /// A pace within this factor may be chance, within its square for runs still going: work varies by its mean.
 const PACE_NOISE: f64 = 1.6;
+/// Beyond this pace a server asks callers to stay away.
+const SICK: f64 = 2.0;
 /// RPCs that a method's learned cost remembers.
 const COST_MEMORY: f64 = 40.0;
 /// Serving times this far above base mean that the target is too high.
@@ -52,6 +54,8 @@
 const FINISH: f64 = 1.5;
 /// Mean time unread, as a share of the shortest latency target, above which reading is the bottleneck.
 const UNREAD: f64 = 0.1;
+/// Beyond this multiple of it what is read is too old to be ok: callers are asked to stay away.
+const STALE: f64 = 5.0;
 /// The credit is published when it moved by this share.
 const CREDIT_STEP: f64 = 0.1;
 /// Burst of a tenant above its share here, in seconds of it.
@@ -501,6 +505,10 @@
             self.memory.compare(gauges.heap_share.unwrap_or(0.0), keys);
             self.target.adjust(now, gauges, self.cores.running as f64, self.pace);
             self.share_out();
+            // With nothing to run, nothing tells of a recovery: the pace is forgiven, and work comes on trial.
+            if self.cores.running == 0 {
+                self.pace += (1.0 - self.pace) / PACE_MEMORY;
+            }
         }
         self.settle()
     }
@@ -561,17 +569,16 @@
         if a.prior.is_some() && m.effect != Effect::NonIdempotent {
             rpc.stage = Stage::Joined;
             self.rpcs.insert(id, rpc);
-            if now < due {
-                self.out.joins.push(id);
-            }
-            return self.set_alarm(id, due);
+            let room = now < due && self.memory.fits(self.keys.used(), 0.0);
+            self.out.joins.extend(Some(id).filter(|_| room));
+            return self.set_alarm(id, if room { due } else { now });
         }
         self.rpcs.insert(id, rpc);
         let keys = self.keys.used() + if keep > 0 { self.keys.kb } else { 0.0 };
         let wait = self.hold.ahead(place.0) * pace / self.target.target;
         let hopeless = now as f64 + wait + whole > last_good as f64 && self.cores.running > 0;
         if late || now >= due || !self.memory.fits(keys, 0.0) || hopeless || self.stalled {
-            return self.push_back(id, hopeless && pace <= 1.0 && !self.stalled);
+            return self.push_back(id, hopeless && !self.stalled);
         }
         let top = self.methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
         let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / top);
@@ -700,13 +707,13 @@
     }
 
     fn publish(&mut self) {
-        let healthy = self.drain.notice.is_none() && !self.stalled;
-        if self.credit.healthy.replace(healthy) != Some(healthy) {
-            self.out.health = Some(healthy);
-        }
         // Guards against arrivals outrunning the reading: what callers send is cut as the time unread grows.
         let unread = self.credit.unread.read(self.now) / self.credit.read.read(self.now).max(1.0);
         let (crowd, target) = ((unread / self.credit.fine).max(1.0), self.target.target);
+        let healthy = self.drain.notice.is_none() && !self.stalled && self.pace() < SICK && crowd < STALE;
+        if self.credit.healthy.replace(healthy) != Some(healthy) {
+            self.out.health = Some(healthy);
+        }
         let idle = (self.cores.running as f64) < target && self.hold.order.is_empty() && crowd <= 1.0;
         let share = if idle { 1.0 } else { target / (target + self.hold.order.len() as f64) / crowd };
         let open = if healthy { share } else { 0.0 };
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -59,7 +59,7 @@
             say: *g.choose(&[Say::Off, Say::Credit, Say::Threshold, Say::ShareOf]).unwrap(),
             cold: *g.choose(&[0.2, 1.0]).unwrap(),
             tip: *g.choose(&[3.0, 8.0]).unwrap(),
-            ram: *g.choose(&[800.0, 3_000.0, 1e6]).unwrap(),
+            ram: *g.choose(&[150.0, 400.0, 1e6]).unwrap(),
             passes_due: *g.choose(&[true, true, false]).unwrap(),
         }
     }
