Health off only where slow runs and old reads come together

Slow runs and old reads together tell a slow server from a fleet that is behind; what a slow server takes is not learned as the cost.

--- a/src/control.rs
+++ b/src/control.rs
@@ -31,8 +31,6 @@
 const PACE_MOST: f64 = 10.0;
 /// A pace within this factor may be chance, within its square for runs still going: work varies by its mean.
 const PACE_NOISE: f64 = 1.6;
-/// Beyond this pace a server asks callers to stay away.
-const SICK: f64 = 2.0;
 /// RPCs that a method's learned cost remembers.
 const COST_MEMORY: f64 = 40.0;
 /// Serving times this far above base mean that the target is too high.
@@ -687,11 +685,14 @@
             _ => r.served * 1e3,
         };
         self.accounts.correct(self.now, r.caller, r.taken, real_cost, r.penalty * PENALTY);
-        if end == RunEnd::Ok {
-            let cost = &mut self.costs[r.method.0];
-            self.pace += ((r.served / cost.mean()).min(PACE_MOST) - self.pace) / PACE_MEMORY;
-            let pace = (self.pace / PACE_NOISE).max(1.0);
-            cost.learn(r.served / pace, (self.now - r.begun) as f64 / pace);
+        // A run that was stopped took at least as long; what a slow server takes is not learned as the cost.
+        let cost = &mut self.costs[r.method.0];
+        let ratio = (r.served / cost.mean()).min(PACE_MOST);
+        if end == RunEnd::Ok || ratio > self.pace {
+            self.pace += (ratio - self.pace) / PACE_MEMORY;
+        }
+        if end == RunEnd::Ok && (self.pace < PACE_NOISE || cost.n < PACE_MEMORY) {
+            cost.learn(r.served, (self.now - r.begun) as f64);
         }
     }
 
@@ -710,7 +711,7 @@
         // Guards against arrivals outrunning the reading: what callers send is cut as the time unread grows.
         let unread = self.credit.unread.read(self.now) / self.credit.read.read(self.now).max(1.0);
         let (crowd, target) = ((unread / self.credit.fine).max(1.0), self.target.target);
-        let healthy = self.drain.notice.is_none() && !self.stalled && self.pace() < SICK && crowd < STALE;
+        let healthy = self.drain.notice.is_none() && !self.stalled && (crowd < STALE || self.pace() <= 1.0);
         if self.credit.healthy.replace(healthy) != Some(healthy) {
             self.out.health = Some(healthy);
         }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -253,7 +253,8 @@
         let open = self.rpcs.values().filter(|r| !r.over);
         let need = |r: &Seen| if matches!(r.at, At::Held | At::Joined(_)) { KB } else { KB * FACTOR };
         let memory = open.map(need).sum::<f64>() + self.keys.len() as f64 * KEY_KB;
-        assert!(memory <= self.drawn.ram, "memory {memory} over {}", self.drawn.ram);
+        let ram = self.drawn.ram;
+        assert!(memory <= ram, "memory {memory} over {ram}");
         let running = self.count(|r| r.at == At::Running);
         let calls = self.count(|r| matches!(r.at, At::Calling(_))) + self.lingering.len() as f64;
         self.load.push((now, running, calls));
