--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -255,13 +255,13 @@
         to.extend(ids.iter().map(|id| json!({"kind": kind, "I": i, "Id": id.as_str()})));
     };
     named("Stop", &o.stops);
-    named("Unpin", &o.forgets);
     for (id, span) in &o.keeps {
         to.push(json!({"kind": "RecordKey", "I": i, "Id": id.as_str(), "ForTimeMs": ms(*span)}));
     }
     let mut named = |kind: &str, ids: &[RpcId]| {
         to.extend(ids.iter().map(|id| json!({"kind": kind, "I": i, "Id": id.as_str()})));
     };
+    named("Unpin", &o.forgets);
     named("Join", &o.joins);
     named("Launch", &o.runs);
     for (id, wait) in &o.calls {
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -210,12 +210,12 @@
             assert!(self.drawn.stop_mode != StopMode::Off);
             assert!(!self.rpcs[id].owed, "{id:?} stopped with its answer owed");
         }
-        for id in &out.forgets {
-            self.keys.remove(id);
-        }
         for (id, span) in &out.keeps {
             self.keys.insert(*id, self.now + span);
         }
+        for id in &out.forgets {
+            self.keys.remove(id);
+        }
         for id in &out.joins {
             self.rpcs.get_mut(id).unwrap().at = At::Joined(*id);
         }
--- a/src/types.rs
+++ b/src/types.rs
@@ -173,7 +173,7 @@
     pub stops: Vec<RpcId>,
     /// Keys to keep, and for how long.
     pub keeps: Vec<(RpcId, Us)>,
-    /// Keys to let go.
+    /// Keys to let go; comes after the keeping, as an RPC may be taken and given up at once.
     pub forgets: Vec<RpcId>,
     /// Held RPCs to serve from the one they repeat.
     pub joins: Vec<RpcId>,
