--- a/src/control.rs
+++ b/src/control.rs
@@ -582,13 +582,7 @@
         let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / top);
         let full = self.cores.running as f64 >= self.target.target && !self.hold.order.is_empty();
         if full && buf_value < max_cost + reserve {
-            // The account refuses by criticality: its lowest held RPC leaves in place of a newcomer above it.
-            let mut low = self.hold.order.iter().rev().take_while(|p| p.0 > place.0).map(|p| p.3);
-            let low = low.find(|id| self.rpcs[id].caller == a.caller);
-            self.push_back(low.unwrap_or(id), true);
-            if low.is_none() {
-                return;
-            }
+            return self.push_back(id, true);
         }
         let (taken, fill) = self.accounts.take(now, a.caller, max_cost);
         place.1 = Reverse((fill * 1e6) as u64);
