--- a/src/control.rs
+++ b/src/control.rs
@@ -547,7 +547,9 @@
         let (notice, last) = self.drain.notice.unwrap_or((Us::MAX - self.drain.grace, Us::MAX));
         let late = arrived >= notice + self.drain.grace;
         let due = a.due.unwrap_or(arrived + m.deadline).saturating_sub(2 * self.step).min(last);
-        let last_good = if m.late_share > 0.0 { due } else { due.min(arrived + m.latency_target) };
+        // While RPCs wait, one that would be late is not worth the cores that one in time could have.
+        let good = due.min(arrived + m.latency_target);
+        let last_good = if m.late_share > 0.0 { due } else { good };
         let worth = m.criticality * self.shares.worth(now, tenant);
         self.seq += 1;
         let mut place = (Reverse((worth * 1e6) as u64), Reverse(0), self.seq, id);
@@ -574,7 +576,7 @@
         self.rpcs.insert(id, rpc);
         let keys = self.keys.used() + if keep > 0 { self.keys.kb } else { 0.0 };
         let wait = self.hold.ahead(place.0) * pace / self.target.target;
-        let hopeless = now as f64 + wait + whole > last_good as f64 && self.cores.running > 0;
+        let hopeless = now as f64 + wait + whole > good as f64 && self.cores.running > 0;
         if late || now >= due || !self.memory.fits(keys, 0.0) || hopeless || self.stalled {
             return self.push_back(id, hopeless && !self.stalled);
         }
@@ -592,7 +594,7 @@
             self.keys.until.insert(id, now + keep);
             self.out.keeps.push((id, keep));
         }
-        self.set_alarm(id, last_good.saturating_sub(whole as Us).max(now));
+        self.set_alarm(id, good.saturating_sub(whole as Us).max(now));
     }
 
     fn set_alarm(&mut self, id: RpcId, at: Us) {
