--- a/src/control.rs
+++ b/src/control.rs
@@ -505,7 +505,7 @@
             self.share_out();
             // With nothing to run, nothing tells of a recovery: the pace is forgiven, and work comes on trial.
             if self.cores.running == 0 {
-                self.pace += (1.0 - self.pace) / PACE_MEMORY;
+                self.pace += (1.0 - self.pace) / PACE_MEMORY / BEATS as f64;
             }
         }
         self.settle()
@@ -528,7 +528,12 @@
     /// How many times slower than learned work goes now: from runs that ended, and that should have.
     fn pace(&self) -> f64 {
         let overdue = self.cores.overdue(self.now, self.target.cores * self.costs[0].mean());
-        (self.pace.max(overdue / PACE_NOISE) / PACE_NOISE).max(1.0)
+        let pace = self.pace.max(overdue / PACE_NOISE);
+        if pace > PACE_NOISE {
+            pace
+        } else {
+            1.0
+        }
     }
 
     fn take(&mut self, a: Arrival, tenant: Option<usize>) {
