--- a/src/control.rs
+++ b/src/control.rs
@@ -583,7 +583,8 @@
         let wait = self.hold.ahead(place.0) * pace / self.target.target;
         let hopeless = now as f64 + wait + whole > good as f64 && self.cores.running > 0;
         if late || now >= due || !self.memory.fits(keys, 0.0) || hopeless || self.stalled {
-            return self.push_back(id, hopeless && !self.stalled);
+            // A slow server lets its RPCs go on to others; elsewhere trying on only adds reading.
+            return self.push_back(id, hopeless && pace <= 1.0 && !self.stalled);
         }
         let top = self.methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
         let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / top);
