--- a/src/control.rs
+++ b/src/control.rs
@@ -198,7 +198,6 @@
             *self.work.entry(place.0).or_default() -= work;
         }
     }
-    /// Expected work held at this criticality or above.
     fn ahead(&self, band: Reverse<u64>) -> f64 {
         self.work.range(..=band).map(|(_, w)| w).sum::<f64>().max(0.0)
     }
@@ -490,8 +489,7 @@
         if now >= self.beat {
             self.beat = now + ACTIVE / BEATS;
             self.keys.until.retain(|_, until| *until > now);
-            let keys = self.keys.used();
-            self.memory.compare(gauges.heap_share.unwrap_or(0.0), keys);
+            self.memory.compare(gauges.heap_share.unwrap_or(0.0), self.keys.used());
             self.target.adjust(now, gauges, self.cores.running as f64, self.pace);
             self.share_out();
             // With nothing to run, nothing tells of a recovery: the pace is forgiven step by step.
@@ -706,7 +704,9 @@
         // Guards against arrivals outrunning the reading: what callers send is cut as the time unread grows.
         let unread = self.credit.unread.read(self.now) / self.credit.read.read(self.now).max(1.0);
         let (crowd, target) = ((unread / self.credit.fine).max(1.0), self.target.target);
-        let healthy = self.drain.notice.is_none() && !self.stalled && (crowd < STALE || self.pace() <= 1.0);
+        // Reading and runs that share the cores explain a pace of up to 1 + HEADROOM; beyond it the cores are slow.
+        let sick = self.stalled || crowd > STALE && self.pace() > 1.0 + HEADROOM;
+        let healthy = self.drain.notice.is_none() && !sick;
         if self.credit.healthy.replace(healthy) != Some(healthy) {
             self.out.health = Some(healthy);
         }
