Callers that leave at a call don't count against the layer below

Found in review, shown by a plain test that failed before: five callers leaving in a row opened the breaker.

--- a/src/control.rs
+++ b/src/control.rs
@@ -45,8 +45,6 @@
 /// Failures in a row that open the breaker; it tries again after this share of the shortest latency target.
 const FAILURES: u32 = 5;
 const BREAK: f64 = 0.5;
-/// Times that a call is tried for one RPC.
-const TRIES: u32 = 2;
 /// Share of a method's mean cost that is kept free after a call to finish in time.
 const FINISH: f64 = 1.5;
 /// Mean time unread, as a share of the shortest latency target, above which reading is the bottleneck.
@@ -274,7 +272,6 @@
     pub fn new(kb: f64, fresh: Us) -> Keys {
         Keys { kb, fresh, until: BTreeMap::new() }
     }
-    /// Memory in use; entries count until the beat after their end.
     fn used(&self) -> f64 {
         self.until.len() as f64 * self.kb
     }
@@ -456,7 +453,7 @@
         if let Some(r) = self.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Calling) {
             let again = self.methods[r.method.0].effect == Effect::Idempotent || end == CallEnd::PushedBack;
             r.failed_calls += 1;
-            r.may_call = again && r.failed_calls < TRIES;
+            r.may_call = again && r.failed_calls == 1; // tried once more
             self.calls.ended(now, id, end, self.chance.generate::<f64>());
             if end == CallEnd::Ok {
                 (r.failed_calls, r.may_call) = (0, true);
@@ -635,7 +632,10 @@
             Stage::Running if self.stop_mode != StopMode::Off => self.out.stops.push(id),
             Stage::Calling => {
                 r.stage = Stage::AtCall;
+                // A caller that left says nothing of the layer below: it lingers there, but is no failure.
+                let failures = std::mem::take(&mut self.calls.failures);
                 self.calls.ended(self.now, id, CallEnd::TimedOut, self.chance.generate::<f64>());
+                self.calls.failures = failures;
             }
             _ => {}
         }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -597,3 +597,18 @@
     world.pass(490 * MS);
     assert_eq!(world.rpcs[&id].at, At::Running, "skipped before the latency target");
 }
+
+#[test]
+fn callers_that_leave_do_not_stop_the_calls() {
+    let mut world = World::new(Drawn { below: Below::Tier, ..Drawn::default() }, 1);
+    for _ in 0..8 {
+        let id = world.read(0, 0, 0, 1_500 * MS, None);
+        world.need_call(id);
+        world.leave(id);
+        world.end_run(id, RunEnd::Stopped);
+        world.pass(250 * MS);
+    }
+    let next = world.read(0, 0, 0, 1_500 * MS, None);
+    world.need_call(next);
+    assert!(matches!(world.rpcs[&next].at, At::Calling(_)));
+}
