--- a/src/control.rs
+++ b/src/control.rs
@@ -55,7 +55,7 @@
 const CREDIT_STEP: f64 = 0.1;
 /// Burst of a tenant above its share here, in seconds of it.
 const TENANT_BURST: f64 = 2.0;
-/// Expected runs without one ending before the server counts as stalled.
+/// What runs has taken this many times its cost: work stopped finishing.
 const STALL: f64 = 5.0;
 
 /// What serving an RPC of one method costs, learned from runs that ended ok. In microseconds.
@@ -380,8 +380,6 @@
     at_call: BTreeSet<Place>,
     cores: Cores,
     pace: f64,
-    last_end: Us,
-    stalled: bool,
     beat: Us,
     woken_at: Us,
     seq: u64,
@@ -400,11 +398,11 @@
         let (chance, hold, out, rpcs) =
             (WyRand::new_seed(seed), Hold::default(), Outcome::default(), BTreeMap::new());
         let (alarms, at_call, cores, pace) = (BTreeSet::new(), BTreeSet::new(), Cores::default(), 1.0);
-        let (last_end, stalled, beat, woken_at, seq) = (now, false, now, Us::MAX, 0);
+        let (beat, woken_at, seq) = (now, Us::MAX, 0);
         #[rustfmt::skip]
         let mut control = Control {
             now, chance, step, stop_mode, methods, costs, accounts, target, hold, calls, keys, memory, drain,
-            credit, shares, rpcs, alarms, at_call, cores, pace, last_end, stalled, beat, woken_at, seq, out,
+            credit, shares, rpcs, alarms, at_call, cores, pace, beat, woken_at, seq, out,
         };
         control.share_out();
         control
@@ -441,7 +439,6 @@
         self.pass_time(now);
         if let Some(r) = self.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Running) {
             self.cores.leave(r, now);
-            self.last_end = now;
             self.wait_for_call(id);
         }
         self.settle()
@@ -511,10 +508,14 @@
         self.now = now.max(self.now);
     }
 
+    /// Time so far of what runs over its expected cost.
+    fn overdue(&self) -> f64 {
+        self.cores.overdue(self.now, self.target.cores * self.costs[0].mean)
+    }
+
     /// How many times slower than learned work goes now: from runs that ended, and that should have.
     fn pace(&self) -> f64 {
-        let overdue = self.cores.overdue(self.now, self.target.cores * self.costs[0].mean);
-        let pace = self.pace.max(overdue / PACE_NOISE);
+        let pace = self.pace.max(self.overdue() / PACE_NOISE);
         if pace > PACE_NOISE {
             pace
         } else {
@@ -568,8 +569,8 @@
         let keys = self.keys.used() + if keep > 0 { self.keys.kb } else { 0.0 };
         let wait = self.hold.ahead(place.0) * pace / self.target.target;
         let hopeless = now as f64 + wait + whole > good as f64 && self.cores.running > 0;
-        if late || now >= due || !self.memory.fits(keys, 0.0) || hopeless || self.stalled {
-            return self.push_back(id, hopeless && !self.stalled);
+        if late || now >= due || !self.memory.fits(keys, 0.0) || hopeless {
+            return self.push_back(id, hopeless && self.overdue() < STALL);
         }
         let top = self.methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
         let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / top);
@@ -669,7 +670,6 @@
         }
         self.answered(id);
         let Some(r) = self.rpcs.remove(&id) else { return };
-        self.last_end = self.now;
         self.memory.used -= r.size_kb * self.memory.factor;
         let real_cost = match end {
             // A quick failure spent what it was taken for: it must not refill the account.
@@ -705,11 +705,16 @@
         let unread = self.credit.unread.read(self.now) / self.credit.read.read(self.now).max(1.0);
         let (crowd, target) = ((unread / self.credit.fine).max(1.0), self.target.target);
         // Reading and runs that share the cores explain a pace of up to 1 + HEADROOM; beyond it the cores are slow.
-        let sick = self.stalled || crowd > STALE && self.pace() > 1.0 + HEADROOM;
+        let sick = self.overdue() > STALL || crowd > STALE && self.pace() > 1.0 + HEADROOM;
         let healthy = self.drain.notice.is_none() && !sick;
-        if self.credit.healthy.replace(healthy) != Some(healthy) {
+        let before = self.credit.healthy.replace(healthy);
+        if before != Some(healthy) {
             self.out.health = Some(healthy);
         }
+        if before.is_some_and(|b| b != healthy) {
+            let (pace, unread) = (self.pace().max(self.overdue()), unread / 1e3);
+            self.out.log.push(format!("health {healthy}: runs at {pace:.1} of cost, {unread:.0} ms unread"));
+        }
         let idle = (self.cores.running as f64) < target && self.hold.order.is_empty() && crowd <= 1.0;
         let share = target / (target + self.hold.order.len() as f64) / crowd * f64::from(u8::from(healthy));
         let value = match self.credit.say {
@@ -746,20 +751,6 @@
         true
     }
 
-    /// Guards against work that stops finishing (a hang, a slow core): nothing new is taken until a run ends.
-    /// It also covers a pause. Harm: a rare run of several times its cost with no other beside it.
-    fn rule_stall(&mut self) -> bool {
-        if self.cores.running == 0 {
-            self.last_end = self.now;
-        }
-        let slowest = self.costs.iter().map(Cost::max_cost).fold(0.0, f64::max);
-        let stalled = (self.now - self.last_end) as f64 > STALL * slowest;
-        if stalled != self.stalled {
-            self.out.log.push(if stalled { "work stopped finishing" } else { "work finishes again" }.into());
-        }
-        std::mem::replace(&mut self.stalled, stalled) != stalled
-    }
-
     fn skippable(&self, r: &Rpc) -> bool {
         self.methods[r.method.0].skip_share > 0.0 && self.now < r.last_good
     }
@@ -793,7 +784,7 @@
         let back = (self.at_call.len() + self.calls.placed) as f64;
         let most = self.target.max_parallel_reqs(self.now);
         let room = most.min(self.target.survives(self.now).max(1.0) - back) - self.cores.running as f64;
-        if self.stalled || room < 1.0 {
+        if room < 1.0 {
             return false;
         }
         let Some(place) = self.hold.order.first().copied() else { return false };
@@ -812,5 +803,4 @@
 }
 
 /// Gone through in this order after every input until none fires.
-const RULES: &[fn(&mut Control) -> bool] =
-    &[Control::rule_due, Control::rule_stall, Control::rule_call, Control::rule_run];
+const RULES: &[fn(&mut Control) -> bool] = &[Control::rule_due, Control::rule_call, Control::rule_run];
