Idle connections close sooner where callers are many; all sums moved into the module

Cause: at 750 to 1,000 callers a server's table of connections (62 to 94) was full of idle ones, so 43 to 82% of attempts got none, and a full table takes a third of the cores. The idle span halves at each beat while more than two connections are open for each active caller, and doubles below one.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -175,7 +175,7 @@
         Keys::new(maybe(family, "KbPerKey")?.unwrap_or(0.0), maybe_time(family, "FreshMs")?),
         Memory::new(number(family, "RamKb")?, factor),
         Drain::new(time(safety, "StopSendingWithinMs")?),
-        Credit::new(say, relayed, shortest),
+        Credit::new(say, relayed, shortest, maybe_time(family, "IdleMs")?),
         Shares::new(&rates, replicas, over),
     );
     Ok(Instance { control, methods: names, tenants })
@@ -200,7 +200,7 @@
 
 fn gauges(item: &Value) -> Gauges {
     let metric = |name| item.get("Metrics").and_then(|m| m.get(name)).and_then(Value::as_f64);
-    Gauges { on_cores: metric("on_cores"), heap_share: metric("heap_share") }
+    Gauges { on_cores: metric("on_cores"), heap_share: metric("heap_share"), links: metric("links") }
 }
 
 /// Decodes one event into a call of the module.
@@ -277,6 +277,9 @@
     if let Some(enable) = o.health {
         to.push(json!({"kind": "MarkHealth", "I": i, "FromState": true, "Enable": enable}));
     }
+    if let Some(span) = o.close_idle {
+        to.push(json!({"kind": "CloseIdle", "I": i, "ForTimeMs": ms(span)}));
+    }
     if let Some(span) = o.wake {
         to.push(json!({"kind": "NotifyMe", "I": i, "AfterMs": ms(span), "Name": 1}));
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,81 +4,127 @@
 //! that happens it calls `rpc_read`, `caller_gone`, `run_ended`, `call_needed`, `call_ended`, `drain` or
 //! `woken`, and carries out the `Outcome` it gets back, list by list. That interface (ids, `Arrival`,
 //! `Outcome`) is defined in `types.rs`; the wire of the bench ends in `drill/`. After every input `RULES`,
-//! at the end of this file, are gone through in order until none fires. `docs/design.md` has the reasons.
+//! at the end of this file, are gone through in order until none fires. Reasons: `docs/design.md`.
 
-use crate::{records::*, types::*};
+use crate::types::*;
 use nanorand::{Rng, WyRand};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Runs above the target before RPCs wait: the room between target_parallel_reqs and max_parallel_reqs.
-const HEADROOM: f64 = 1.25;
-/// Share of the crowd, the memory and the calls below that are survived, of which we make use.
-const SAFE: f64 = 0.8;
-/// buf_limit over MRR, as a share of the shortest latency target: a burst of it still waits in good time.
-const BUF_SPAN: f64 = 0.5;
-/// A buffer holds at least this many of the dearest RPC, or a thin account could never take one.
-const BUF_RPCS: f64 = 2.0;
-/// Constant factor of congestion_penalty.
-const PENALTY: f64 = 0.25;
-/// Share of buf_limit that an account keeps for its more critical RPCs once RPCs are held.
-const RESERVE: f64 = 0.5;
-/// First max_cost of a method, as a share of its latency target.
-const FIRST_COST: f64 = 0.2;
-/// Runs of any method that the server's pace remembers, and the most that one run may say.
-const PACE_MEMORY: f64 = 12.0;
-const PACE_MOST: f64 = 10.0;
-/// A pace within this factor may be chance, within its square for runs still going: work varies by its mean.
-const PACE_NOISE: f64 = 1.6;
-/// RPCs that a method's learned cost remembers.
-const COST_MEMORY: f64 = 40.0;
-/// Serving times this far above base mean that the target is too high.
-const SLOW: f64 = 1.5;
-/// The target's rise at each beat; it falls half as fast.
-const RISE: f64 = 1.1;
-/// Beats in the time that callers are counted as active.
-const BEATS: u64 = 10;
-/// Callers heard of within it share the target.
-const ACTIVE: Us = 1_000_000;
-/// Bound on calls in hand for each core where no share is told.
-const CALLS_PER_CORE: f64 = 3.0;
-/// Failures in a row that open the breaker; it tries again after this share of the shortest latency target.
-const FAILURES: u32 = 5;
-const BREAK: f64 = 0.5;
-/// Share of a method's mean cost that is kept free after a call to finish in time.
-const FINISH: f64 = 1.5;
-/// Mean time unread, as a share of the shortest latency target, above which reading is the bottleneck.
-const UNREAD: f64 = 0.1;
-/// Beyond this multiple of it what is read is too old to be ok: callers are asked to stay away.
-const STALE: f64 = 5.0;
-/// The credit is published when it moved by this share.
-const CREDIT_STEP: f64 = 0.1;
-/// Burst of a tenant above its share here, in seconds of it.
-const TENANT_BURST: f64 = 2.0;
-/// What runs has taken this many times its cost: work stopped finishing.
-const STALL: f64 = 5.0;
+// Tuned values: ratios to figures from the settings or to what is measured, each with its reason.
+
+const HEADROOM: f64 = 1.25; // max_parallel_reqs over target_parallel_reqs: runs above it before RPCs wait
+const SAFE: f64 = 0.8; // share made use of, of the crowd, the memory and the calls below that are survived
+const BUF_SPAN: f64 = 0.5; // buf_limit over mrr, in shortest latency targets: such a burst is still in time
+const BUF_RPCS: f64 = 2.0; // buf_limit in dearest RPCs at the least, or a thin account could never take one
+const PENALTY: f64 = 0.25; // the constant factor of congestion_penalty
+const RESERVE: f64 = 0.5; // share of buf_limit kept for more critical RPCs once RPCs are held
+const FIRST_COST: f64 = 0.2; // first max_cost of a method, as a share of its latency target
+const COST_MEMORY: f64 = 40.0; // runs that a method's learned cost remembers
+const PACE_MEMORY: f64 = 12.0; // runs of any method that the server's pace remembers
+const VARIES: f64 = 1.6; // max_cost over the mean; a pace within it may be chance: work varies by its mean
+const FAR: f64 = 5.0; // times the ordinary, of a run's cost or of UNREAD: broken or too old, not just busy
+const RISE: f64 = 1.1; // of the target at each beat; it falls half as fast
+const ACTIVE: Us = 1_000_000; // callers heard of within it share the target (the source's last second)
+const BEATS: u64 = 10; // beats in that time
+const CALLS_PER_CORE: f64 = 3.0; // bound on calls in hand where no share is told
+const TRIES: u32 = 2; // failures of a call after which it is left out or its RPC given up
+const FAILURES: u32 = 5; // failed calls in a row that open the breaker
+const BREAK: f64 = 0.5; // its pause before a trial, in shortest latency targets
+const FINISH: f64 = 1.5; // mean costs of a method that are kept free after a call, to finish in time
+const UNREAD: f64 = 0.1; // mean time unread, in shortest latency targets: above it reading is behind
+const CREDIT_STEP: f64 = 0.1; // share by which the credit moves before it is published anew
+const LINKS: f64 = 2.0; // open connections for each active caller, above which idle ones close sooner
+const TENANT_RPCS: f64 = 10.0; // by which a tenant may exceed its share here: fewer are chance
+
+/// A sum that forgets: brought up to date when read.
+struct Fading {
+    value: f64,
+    at: Us,
+    span: f64,
+}
+
+impl Fading {
+    fn new(span: Us) -> Fading {
+        Fading { value: 0.0, at: 0, span: span.max(1) as f64 }
+    }
+    /// Adds an amount, which may be 0, and reads the sum.
+    fn add(&mut self, now: Us, amount: f64) -> f64 {
+        self.value = self.value * (-(now.saturating_sub(self.at) as f64) / self.span).exp() + amount;
+        self.at = now;
+        self.value
+    }
+}
+
+/// Order among the waiting: criticality, then relative buffer, then age.
+type Place = (Reverse<u64>, Reverse<u64>, u64, RpcId);
+
+/// What is known of one RPC in hand.
+struct Rpc {
+    a: Arrival,
+    stage: Stage,
+    place: Place,
+    due: Us,          // when it must have its answer
+    last_good: Us,    // the last moment at which an ok answer earns anything
+    alarm: Us,        // when it is looked at next
+    work: f64,        // expected serving time when it was read
+    taken: f64,       // from its account, in nanoseconds
+    since: (Us, f64), // on the cores since, and the integral of its band then
+    served: f64,      // serving time before that
+    penalty: f64,     // congestion_penalty before that, without its factor
+    answered: bool,
+    tries: u32, // failures left for its call
+}
+
+/// On the cores: of each band of criticality a count, and the integral of parallel_reqs, bands above
+/// included, over target; when something last came on or off.
+#[derive(Default)]
+struct Cores {
+    bands: BTreeMap<Reverse<u64>, (usize, f64)>,
+    running: usize,
+    touched: Us,
+}
+
+impl Cores {
+    fn pass(&mut self, target: f64, passed: f64) {
+        let mut above = 0.0;
+        for (running, integral) in self.bands.values_mut() {
+            above += *running as f64;
+            *integral += (above - target) * passed;
+        }
+    }
+    fn enter(&mut self, r: &mut Rpc, now: Us) {
+        let band = self.bands.entry(r.place.0).or_default();
+        band.0 += 1;
+        (self.running, self.touched) = (self.running + 1, now);
+        (r.stage, r.since) = (Stage::Running, (now, band.1));
+    }
+    fn leave(&mut self, r: &mut Rpc, now: Us) {
+        let band = self.bands.entry(r.place.0).or_default();
+        band.0 -= 1;
+        (self.running, self.touched, r.stage) = (self.running - 1, now, Stage::AtCall);
+        r.served += (now - r.since.0) as f64;
+        r.penalty += band.1 - r.since.1;
+    }
+}
 
 /// What serving an RPC of one method costs, learned from runs that ended ok. In microseconds.
-struct Cost {
+pub(crate) struct Cost {
     n: f64,
     mean: f64,
-    square: f64,
-    whole: f64,
 }
 
 impl Cost {
-    fn new(first: f64) -> Cost {
-        Cost { n: 1.0, mean: first, square: first * first, whole: first * 1.5 }
+    pub(crate) fn new(first: f64) -> Cost {
+        Cost { n: 1.0, mean: first }
     }
-    fn learn(&mut self, served: f64, whole: f64) {
+    fn learn(&mut self, served: f64) {
         self.n = (self.n + 1.0).min(COST_MEMORY);
         self.mean += (served - self.mean) / self.n;
-        self.square += (served * served - self.square) / self.n;
-        self.whole += (whole - self.whole) / self.n;
     }
-    /// The upper estimate: mean and one deviation.
+    /// The upper estimate: work varies by its mean.
     fn max_cost(&self) -> f64 {
-        self.mean + (self.square - self.mean.powi(2)).max(0.0).sqrt()
+        self.mean * VARIES
     }
 }
 
@@ -92,6 +138,7 @@
 /// The accounts of the callers, in nanoseconds of serving time.
 pub struct Accounts {
     of: BTreeMap<CallerId, Account>,
+    heard: BTreeSet<(Us, CallerId)>,
     span: f64,
     active: f64,
     pub(crate) mrr: f64,
@@ -102,18 +149,30 @@
     /// `shortest`: the shortest latency target; `callers`: those known at the start.
     pub fn new(shortest: Us, callers: usize) -> Accounts {
         let (active, span) = (callers.max(1) as f64, shortest as f64 / 1e3 * BUF_SPAN);
-        Accounts { of: BTreeMap::new(), span, active, mrr: 1e6, buf_limit: 0.0 }
+        Accounts { of: BTreeMap::new(), heard: BTreeSet::new(), span, active, mrr: 1e6, buf_limit: 0.0 }
     }
 
     /// Shares target_parallel_reqs out over the active callers; accounts long unused are forgotten.
-    pub(crate) fn share_out(&mut self, now: Us, target: f64, dearest: f64) {
-        self.of.retain(|_, a| a.last_seen + 60 * ACTIVE > now);
-        let active = self.of.values().filter(|a| a.last_seen + ACTIVE > now).count();
-        self.active = active.max(1) as f64;
+    pub(crate) fn share_out(&mut self, now: Us, target: f64, costs: &[Cost]) {
+        while let Some((_, caller)) = self.heard.first().copied().filter(|(at, _)| at + 60 * ACTIVE <= now) {
+            self.heard.pop_first();
+            self.of.remove(&caller);
+        }
+        let dearest = costs.iter().map(Cost::max_cost).fold(0.0, f64::max) * 1e3;
+        self.active = self.heard.range((now.saturating_sub(ACTIVE), CallerId(0))..).count().max(1) as f64;
         self.mrr = target * 1e6 / self.active;
         self.buf_limit = (self.mrr * self.span).max(dearest * BUF_RPCS);
     }
 
+    /// The caller sent an RPC. Hands back its buf_value.
+    fn hear(&mut self, now: Us, caller: CallerId) -> f64 {
+        let a = self.recharge(now, caller);
+        let (before, buf_value) = (std::mem::replace(&mut a.last_seen, now), a.buf_value);
+        self.heard.remove(&(before, caller));
+        self.heard.insert((now, caller));
+        buf_value
+    }
+
     pub(crate) fn recharge(&mut self, now: Us, caller: CallerId) -> &mut Account {
         let limit = self.buf_limit;
         let fresh = Account { buf_value: limit, buf_correction: 0.0, last_update: now, last_seen: now };
@@ -136,14 +195,9 @@
     pub(crate) fn correct(&mut self, now: Us, caller: CallerId, taken: f64, real_cost: f64, penalty: f64) {
         let limit = self.buf_limit;
         let a = self.recharge(now, caller);
-        a.buf_correction = (a.buf_correction - penalty).min(0.0);
-        if real_cost < taken {
-            a.buf_correction += taken - real_cost;
-        }
-        if a.buf_correction > 0.0 {
-            a.buf_value = (a.buf_value + a.buf_correction).min(limit);
-            a.buf_correction = 0.0;
-        }
+        a.buf_correction = (a.buf_correction - penalty).min(0.0) + (taken - real_cost).max(0.0);
+        a.buf_value = (a.buf_value + a.buf_correction.max(0.0)).min(limit);
+        a.buf_correction = a.buf_correction.min(0.0);
     }
 }
 
@@ -173,13 +227,12 @@
     }
     pub(crate) fn adjust(&mut self, now: Us, gauges: Gauges, parallel: f64, pace: f64) {
         let idle = gauges.on_cores.is_some_and(|n| n < self.cores);
-        if pace > SLOW {
+        if pace > VARIES {
             self.target /= RISE.sqrt();
         } else if idle && parallel + 1.0 >= self.target {
             self.target *= RISE;
         }
-        let most = (self.survives(now) / HEADROOM).max(1.0);
-        self.target = self.target.max(self.cores).min(most);
+        self.target = self.target.max(self.cores).min((self.survives(now) / HEADROOM).max(1.0));
     }
 }
 
@@ -235,7 +288,7 @@
     /// Room for one more. A share's fraction is used by a further call while the mean over its window allows.
     pub(crate) fn room(&mut self, now: Us) -> bool {
         let with = self.in_hand(now) + 1.0;
-        let spare = self.mean.read(now) / self.window + 1.0 / BEATS as f64 <= self.bound;
+        let spare = self.mean.add(now, 0.0) / self.window + 1.0 / BEATS as f64 <= self.bound;
         with <= self.bound || (with < self.bound + 1.0 && spare)
     }
     /// Guards against a layer below that fails or hangs: after failures in a row calls stop and return by
@@ -282,23 +335,15 @@
     ram: f64,
     factor: f64,
     used: f64,
-    seen: f64,
 }
 
 impl Memory {
     /// `ram` in kB; a running RPC takes `factor` times what it takes while held.
     pub fn new(ram: f64, factor: f64) -> Memory {
-        Memory { ram, factor: factor.max(1.0), used: 0.0, seen: 1.0 }
+        Memory { ram, factor: factor.max(1.0), used: 0.0 }
     }
     fn fits(&self, keys: f64, more: f64) -> bool {
-        (self.used + more) * self.seen + keys <= self.ram * SAFE
-    }
-    /// The gauge above our own count means that some methods weigh more than told.
-    fn compare(&mut self, heap_share: f64, keys: f64) {
-        if self.used > self.ram * 0.05 {
-            let seen = (heap_share * self.ram - keys) / self.used;
-            self.seen = seen.clamp(1.0, 4.0).max(self.seen * 0.99);
-        }
+        self.used + more + keys <= self.ram * SAFE
     }
 }
 
@@ -315,7 +360,7 @@
     }
 }
 
-/// What is told to callers.
+/// What callers hear: the free number, health, and how long a connection may idle.
 pub struct Credit {
     say: Say,
     come_back: Us,
@@ -324,13 +369,28 @@
     fine: f64,
     said: f64,
     healthy: Option<bool>,
+    longest: Us,
+    idle: Us,
 }
 
 impl Credit {
-    /// `come_back`: the longest time to come back that is relayed; 0 where none is.
-    pub fn new(say: Say, come_back: Us, shortest: Us) -> Credit {
+    /// `come_back`: the longest time to come back that is relayed, 0 where none is; `longest`: when callers
+    /// close an idle connection by themselves.
+    pub fn new(say: Say, come_back: Us, shortest: Us, longest: Us) -> Credit {
         let (unread, read, fine) = (Fading::new(ACTIVE), Fading::new(ACTIVE), shortest as f64 * UNREAD);
-        Credit { say, come_back, unread, read, fine, said: -1.0, healthy: None }
+        Credit { say, come_back, unread, read, fine, said: -1.0, healthy: None, longest, idle: longest }
+    }
+    /// Guards against a table full of connections that bring nothing: they tax the cores and leave callers
+    /// without one. While more are open than twice the active callers need, idle ones close sooner. It also
+    /// covers a fleet or a crowd of callers that has grown. Harm: a handshake for a caller that pauses.
+    fn close_idle(&mut self, open: f64, active: f64) -> Option<Us> {
+        let (before, least) = (self.idle, ACTIVE / BEATS);
+        if open > LINKS * active {
+            self.idle = (before / 2).max(least).min(self.longest);
+        } else if open < LINKS * active / 2.0 {
+            self.idle = (before * 2).min(self.longest);
+        }
+        Some(self.idle).filter(|idle| *idle != before)
     }
 }
 
@@ -343,12 +403,12 @@
 impl Shares {
     /// `rates`: RPCs a second of each tenant over the whole fleet; `worth`: of what exceeds them.
     pub fn new(rates: &[f64], replicas: usize, worth: f64) -> Shares {
-        let here = |r: &f64| (r / replicas.max(1) as f64).max(0.01);
-        Shares { rates: rates.iter().map(here).map(|r| (r, r * TENANT_BURST, 0)).collect(), worth }
+        let here = |rate: &f64| (rate / replicas.max(1) as f64, TENANT_RPCS, 0);
+        Shares { rates: rates.iter().map(here).collect(), worth }
     }
     fn worth(&mut self, now: Us, tenant: Option<usize>) -> f64 {
         let Some((rate, room, at)) = tenant.and_then(|t| self.rates.get_mut(t)) else { return 1.0 };
-        *room = (*room + *rate * (now - *at) as f64 / 1e6).min((*rate * TENANT_BURST).max(1.0));
+        *room = (*room + *rate * (now - *at) as f64 / 1e6).min(TENANT_RPCS);
         *at = now;
         if *room < 1.0 {
             return self.worth;
@@ -395,146 +455,125 @@
         shares: Shares,
     ) -> Control {
         let costs = methods.iter().map(|m| Cost::new(m.latency_target as f64 * FIRST_COST)).collect();
-        let (chance, hold, out, rpcs) =
-            (WyRand::new_seed(seed), Hold::default(), Outcome::default(), BTreeMap::new());
-        let (alarms, at_call, cores, pace) = (BTreeSet::new(), BTreeSet::new(), Cores::default(), 1.0);
-        let (beat, woken_at, seq) = (now, Us::MAX, 0);
+        let (rpcs, alarms, at_call, hold) =
+            (BTreeMap::new(), BTreeSet::new(), BTreeSet::new(), Hold::default());
+        let (chance, cores, out) = (WyRand::new_seed(seed), Cores::default(), Outcome::default());
         #[rustfmt::skip]
         let mut control = Control {
             now, chance, step, stop_mode, methods, costs, accounts, target, hold, calls, keys, memory, drain,
-            credit, shares, rpcs, alarms, at_call, cores, pace, beat, woken_at, seq, out,
+            credit, shares, rpcs, alarms, at_call, cores, out, pace: 1.0, beat: now,
+            woken_at: Us::MAX, seq: 0,
         };
-        control.share_out();
+        control.accounts.share_out(now, control.target.target, &control.costs);
         control
     }
 
     /// The start: what to publish and when to wake first.
     pub fn started(&mut self) -> Outcome {
-        self.settle()
+        self.after(self.now, |_| ())
     }
 
     /// An RPC was read and is held from now on.
     pub fn rpc_read(&mut self, now: Us, arrival: Arrival, tenant: Option<usize>) -> Outcome {
-        self.pass_time(now);
-        self.take(arrival, tenant);
-        self.settle()
+        self.after(now, |c| c.take(arrival, tenant))
     }
 
     /// No one waits for this RPC any longer. Held ones are over; the rest end with `run_ended`.
     pub fn caller_gone(&mut self, now: Us, id: RpcId) -> Outcome {
-        self.pass_time(now);
-        self.answered(id);
-        self.settle()
+        self.after(now, |c| c.answered(id))
     }
 
     /// A run or a join has ended.
     pub fn run_ended(&mut self, now: Us, id: RpcId, end: RunEnd) -> Outcome {
-        self.pass_time(now);
-        self.finish(id, end);
-        self.settle()
+        self.after(now, |c| c.finish(id, end))
     }
 
     /// A run can't go on without a call below.
     pub fn call_needed(&mut self, now: Us, id: RpcId) -> Outcome {
-        self.pass_time(now);
-        if let Some(r) = self.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Running) {
-            self.cores.leave(r, now);
-            self.wait_for_call(id);
-        }
-        self.settle()
+        self.after(now, |c| c.wait_for_call(id))
     }
 
     /// A call below has ended.
     pub fn call_ended(&mut self, now: Us, id: RpcId, end: CallEnd) -> Outcome {
-        self.pass_time(now);
-        if let Some(r) = self.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Calling) {
-            let again = self.methods[r.method.0].effect == Effect::Idempotent || end == CallEnd::PushedBack;
-            r.failed_calls += 1;
-            r.may_call = again && r.failed_calls == 1; // tried once more
-            self.calls.ended(now, id, end, self.chance.generate::<f64>());
+        self.after(now, |c| {
+            let Some(r) = c.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Calling) else { return };
+            let again = c.methods[r.a.method.0].effect == Effect::Idempotent || end == CallEnd::PushedBack;
+            r.tries = if again { r.tries - 1 } else { 0 };
+            c.calls.ended(c.now, id, end, c.chance.generate::<f64>());
             if end == CallEnd::Ok {
-                (r.failed_calls, r.may_call) = (0, true);
-                self.on_cores(id);
+                r.tries = TRIES;
+                c.on_cores(id);
             } else {
-                self.wait_for_call(id);
+                c.wait_for_call(id);
             }
-        }
-        self.settle()
+        })
     }
 
     /// The notice to leave: the process is stopped at `kill`.
     pub fn drain(&mut self, now: Us, kill: Us) -> Outcome {
-        self.pass_time(now);
-        let last = kill.saturating_sub(2 * self.step);
-        self.drain.notice = Some((now, last));
-        for id in self.rpcs.iter().filter(|(_, r)| !r.answered).map(|(id, _)| *id).collect::<Vec<_>>() {
-            let r = self.rpcs.entry(id);
-            r.and_modify(|r| (r.due, r.last_good) = (r.due.min(last), r.last_good.min(last)));
-            self.set_alarm(id, self.rpcs[&id].alarm.min(last));
-        }
-        self.out.log.push("notice to leave".into());
-        self.settle()
+        self.after(now, |c| {
+            let last = kill.saturating_sub(2 * c.step);
+            c.drain.notice = Some((c.now, last));
+            for (id, r) in c.rpcs.iter_mut().filter(|(_, r)| !r.answered) {
+                c.alarms.remove(&(r.alarm, *id));
+                (r.due, r.last_good, r.alarm) = (r.due.min(last), r.last_good.min(last), r.alarm.min(last));
+                c.alarms.insert((r.alarm, *id));
+            }
+            c.out.log.push("notice to leave".into());
+        })
     }
 
     /// A wake asked for has come.
     pub fn woken(&mut self, now: Us, gauges: Gauges) -> Outcome {
-        self.pass_time(now);
-        self.woken_at = if now >= self.woken_at { Us::MAX } else { self.woken_at };
-        if now >= self.beat {
-            self.beat = now + ACTIVE / BEATS;
-            self.keys.until.retain(|_, until| *until > now);
-            self.memory.compare(gauges.heap_share.unwrap_or(0.0), self.keys.used());
-            self.target.adjust(now, gauges, self.cores.running as f64, self.pace);
-            self.share_out();
+        self.after(now, |c| {
+            c.woken_at = if c.now >= c.woken_at { Us::MAX } else { c.woken_at };
+            if c.now < c.beat {
+                return;
+            }
+            c.beat = c.now + ACTIVE / BEATS;
+            c.keys.until.retain(|_, until| *until > c.now);
+            c.target.adjust(c.now, gauges, c.cores.running as f64, c.pace);
+            c.accounts.share_out(c.now, c.target.target, &c.costs);
+            c.out.close_idle = gauges.links.and_then(|open| c.credit.close_idle(open, c.accounts.active));
             // With nothing to run, nothing tells of a recovery: the pace is forgiven step by step.
-            if self.cores.running == 0 {
-                self.pace += (1.0 - self.pace) / PACE_MEMORY / BEATS as f64;
+            if c.cores.running == 0 {
+                c.pace += (1.0 - c.pace) / PACE_MEMORY / BEATS as f64;
             }
-        }
-        self.settle()
+        })
     }
 
-    fn share_out(&mut self) {
-        let dearest = self.costs.iter().map(Cost::max_cost).fold(0.0, f64::max) * 1e3;
-        self.accounts.share_out(self.now, self.target.target, dearest);
-    }
-
-    /// Brings the integrals up to now.
-    fn pass_time(&mut self, now: Us) {
+    /// Brings the integrals up to now, takes the input in, goes through the rules and hands back what to do.
+    fn after(&mut self, now: Us, input: impl FnOnce(&mut Control)) -> Outcome {
         let passed = now.saturating_sub(self.now) as f64;
         self.cores.pass(self.target.target, passed * 1e3);
         let calls = self.calls.in_hand(now);
         self.calls.mean.add(now, calls * passed);
         self.now = now.max(self.now);
+        input(self);
+        while RULES.iter().any(|rule| rule(self)) {}
+        self.publish();
+        let next = self.alarms.first().map_or(self.beat, |(t, _)| self.beat.min(*t)).max(self.now + 1);
+        if next < self.woken_at {
+            self.woken_at = next;
+            self.out.wake = Some(next - self.now);
+        }
+        std::mem::take(&mut self.out)
     }
 
-    /// Time so far of what runs over its expected cost.
-    fn overdue(&self) -> f64 {
-        self.cores.overdue(self.now, self.target.cores * self.costs[0].mean)
-    }
-
-    /// How many times slower than learned work goes now: from runs that ended, and that should have.
-    fn pace(&self) -> f64 {
-        let pace = self.pace.max(self.overdue() / PACE_NOISE);
-        if pace > PACE_NOISE {
-            pace
-        } else {
-            1.0
-        }
+    /// Guards against work that stops finishing (hang, pause, dead disk): nothing comes on or off the cores.
+    /// Harm: a rare run of several times its cost with no other beside it.
+    fn still(&self) -> bool {
+        let dearest = self.costs.iter().map(Cost::max_cost).fold(0.0, f64::max);
+        self.cores.running > 0 && (self.now - self.cores.touched) as f64 > FAR * dearest
     }
 
     fn take(&mut self, a: Arrival, tenant: Option<usize>) {
-        let (now, m, id) = (self.now, &self.methods[a.method.0], a.id);
-        let cost = &self.costs[a.method.0];
-        let pace = self.pace();
-        let (max_cost, work) = (cost.max_cost() * 1e3 * pace, cost.mean);
-        // What can go without its call needs only its own work: a slow layer below is no reason to refuse.
-        let whole = if m.skip_share > 0.0 { work } else { cost.whole } * pace;
+        let (now, id, pace) = (self.now, a.id, if self.pace > VARIES { self.pace } else { 1.0 });
+        let (m, cost) = (&self.methods[a.method.0], &self.costs[a.method.0]);
+        let (max_cost, work, whole) = (cost.max_cost() * 1e3 * pace, cost.mean, cost.mean * pace);
         self.credit.unread.add(now, a.unread as f64);
         self.credit.read.add(now, 1.0);
-        let Account { buf_value, last_seen, .. } = self.accounts.recharge(now, a.caller);
-        *last_seen = now;
-        let buf_value = *buf_value;
+        let buf_value = self.accounts.hear(now, a.caller);
         let arrived = now.saturating_sub(a.unread);
         let (notice, last) = self.drain.notice.unwrap_or((Us::MAX - self.drain.grace, Us::MAX));
         let late = arrived >= notice + self.drain.grace;
@@ -550,27 +589,25 @@
             Effect::Idempotent if a.key.is_some() && self.keys.fresh > 0 => whole as Us + self.keys.fresh,
             _ => 0,
         };
-        #[rustfmt::skip]
-        let mut rpc = Rpc {
-            method: a.method, caller: a.caller, stage: Stage::Held, place, due, last_good, alarm: Us::MAX,
-            size_kb: a.size_kb, work, taken: 0.0, begun: now, since: (now, 0.0), served: 0.0, penalty: 0.0,
-            answered: false, failed_calls: 0, may_call: true,
-        };
-        self.memory.used += a.size_kb;
         // A repeat waits for the one it repeats. That one may have run, so a repeat is never pushed back.
-        if a.prior.is_some() && m.effect != Effect::NonIdempotent {
-            rpc.stage = Stage::Joined;
-            self.rpcs.insert(id, rpc);
+        let joins = a.prior.is_some() && m.effect != Effect::NonIdempotent;
+        let (caller, stage) = (a.caller, if joins { Stage::Joined } else { Stage::Held });
+        self.memory.used += a.size_kb;
+        #[rustfmt::skip]
+        self.rpcs.insert(id, Rpc {
+            a, stage, place, due, last_good, alarm: Us::MAX, work, taken: 0.0, since: (now, 0.0), served: 0.0,
+            penalty: 0.0, answered: false, tries: TRIES,
+        });
+        if joins {
             let room = now < due && self.memory.fits(self.keys.used(), 0.0);
             self.out.joins.extend(Some(id).filter(|_| room));
             return self.set_alarm(id, if room { due } else { now });
         }
-        self.rpcs.insert(id, rpc);
-        let keys = self.keys.used() + if keep > 0 { self.keys.kb } else { 0.0 };
+        let fits = self.memory.fits(self.keys.used() + if keep > 0 { self.keys.kb } else { 0.0 }, 0.0);
         let wait = self.hold.ahead(place.0) * pace / self.target.target;
         let hopeless = now as f64 + wait + whole > good as f64 && self.cores.running > 0;
-        if late || now >= due || !self.memory.fits(keys, 0.0) || hopeless {
-            return self.push_back(id, hopeless && self.overdue() < STALL);
+        if late || now >= due || !fits || hopeless || self.still() {
+            return self.push_back(id, hopeless && !self.still());
         }
         let top = self.methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
         let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / top);
@@ -578,7 +615,7 @@
         if full && buf_value < max_cost + reserve {
             return self.push_back(id, true);
         }
-        let (taken, fill) = self.accounts.take(now, a.caller, max_cost);
+        let (taken, fill) = self.accounts.take(now, caller, max_cost);
         place.1 = Reverse((fill * 1e6) as u64);
         self.rpcs.entry(id).and_modify(|r| (r.taken, r.place) = (taken, place));
         self.hold.order.insert(place);
@@ -596,9 +633,7 @@
         if let Some(r) = self.rpcs.get_mut(&id) {
             self.alarms.remove(&(r.alarm, id));
             r.alarm = at;
-            if !r.answered {
-                self.alarms.insert((at, id));
-            }
+            self.alarms.insert((at, id));
         }
     }
 
@@ -613,10 +648,13 @@
     /// Off the cores until a call is placed, or skipped while there is still time to finish.
     fn wait_for_call(&mut self, id: RpcId) {
         let Some(r) = self.rpcs.get_mut(&id) else { return };
+        if r.stage == Stage::Running {
+            self.cores.leave(r, self.now);
+        }
         r.stage = Stage::AtCall;
         if !r.answered {
             self.at_call.insert(r.place);
-            let finish = (self.costs[r.method.0].mean * FINISH) as Us + 2 * self.step;
+            let finish = (self.costs[r.a.method.0].mean * FINISH) as Us + 2 * self.step;
             let alarm = r.last_good.saturating_sub(finish).min(r.due).max(self.now);
             self.set_alarm(id, alarm);
         }
@@ -647,9 +685,9 @@
         let Some(r) = self.rpcs.remove(&id) else { return };
         self.alarms.remove(&(r.alarm, id));
         self.hold.drop(r.place, r.work);
-        self.memory.used -= r.size_kb;
+        self.memory.used -= r.a.size_kb;
         if r.taken > 0.0 {
-            self.accounts.correct(self.now, r.caller, r.taken, 0.0, 0.0);
+            self.accounts.correct(self.now, r.a.caller, r.taken, 0.0, 0.0);
         }
         if self.keys.until.remove(&id).is_some() {
             self.out.forgets.push(id);
@@ -657,7 +695,7 @@
     }
 
     fn push_back(&mut self, id: RpcId, terminal: bool) {
-        let dear = self.rpcs.get(&id).map_or(0.0, |r| self.costs[r.method.0].max_cost());
+        let dear = self.rpcs.get(&id).map_or(0.0, |r| self.costs[r.a.method.0].max_cost());
         let come_back = ((dear * 1e6 / self.accounts.mrr) as Us).min(self.credit.come_back);
         self.out.answers.push((id, Answer::PushedBack { terminal, come_back }));
         self.answered(id);
@@ -666,54 +704,35 @@
     fn finish(&mut self, id: RpcId, end: RunEnd) {
         if let Some(r) = self.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Running) {
             self.cores.leave(r, self.now);
-            r.stage = Stage::AtCall;
         }
         self.answered(id);
         let Some(r) = self.rpcs.remove(&id) else { return };
-        self.memory.used -= r.size_kb * self.memory.factor;
-        let real_cost = match end {
-            // A quick failure spent what it was taken for: it must not refill the account.
-            RunEnd::Aborted => r.taken,
-            RunEnd::NotStarted => 0.0,
-            _ => r.served * 1e3,
-        };
-        self.accounts.correct(self.now, r.caller, r.taken, real_cost, r.penalty * PENALTY);
+        self.memory.used -= r.a.size_kb * self.memory.factor;
+        // A quick failure spent what it was taken for: it must not refill the account.
+        let real_cost = if end == RunEnd::Aborted { r.taken } else { r.served * 1e3 };
+        self.accounts.correct(self.now, r.a.caller, r.taken, real_cost, r.penalty * PENALTY);
         // A run that was stopped took at least as long; what a slow server takes is not learned as the cost.
-        let cost = &mut self.costs[r.method.0];
-        let ratio = (r.served / cost.mean).min(PACE_MOST);
+        let cost = &mut self.costs[r.a.method.0];
+        let ratio = (r.served / cost.mean).min(2.0 * FAR);
         if end == RunEnd::Ok || ratio > self.pace {
             self.pace += (ratio - self.pace) / PACE_MEMORY;
         }
-        if end == RunEnd::Ok && (self.pace < PACE_NOISE || cost.n < PACE_MEMORY) {
-            cost.learn(r.served, (self.now - r.begun) as f64);
-        }
-    }
-
-    fn settle(&mut self) -> Outcome {
-        while RULES.iter().any(|rule| rule(self)) {}
-        self.publish();
-        let next = self.alarms.first().map_or(self.beat, |(t, _)| self.beat.min(*t)).max(self.now + 1);
-        if next < self.woken_at {
-            self.woken_at = next;
-            self.out.wake = Some(next - self.now);
+        if end == RunEnd::Ok && (self.pace < VARIES || cost.n < PACE_MEMORY) {
+            cost.learn(r.served);
         }
-        std::mem::take(&mut self.out)
     }
 
     fn publish(&mut self) {
         // Guards against arrivals outrunning the reading: what callers send is cut as the time unread grows.
-        let unread = self.credit.unread.read(self.now) / self.credit.read.read(self.now).max(1.0);
+        let unread = self.credit.unread.add(self.now, 0.0) / self.credit.read.add(self.now, 0.0).max(1.0);
         let (crowd, target) = ((unread / self.credit.fine).max(1.0), self.target.target);
-        // Reading and runs that share the cores explain a pace of up to 1 + HEADROOM; beyond it the cores are slow.
-        let sick = self.overdue() > STALL || crowd > STALE && self.pace() > 1.0 + HEADROOM;
+        // Reading and runs that share the cores explain a pace of 1 + HEADROOM; beyond it the cores are slow.
+        let sick = self.still() || crowd > FAR && self.pace > 1.0 + HEADROOM;
         let healthy = self.drain.notice.is_none() && !sick;
-        let before = self.credit.healthy.replace(healthy);
-        if before != Some(healthy) {
+        if self.credit.healthy.replace(healthy) != Some(healthy) {
             self.out.health = Some(healthy);
-        }
-        if before.is_some_and(|b| b != healthy) {
-            let (pace, unread) = (self.pace().max(self.overdue()), unread / 1e3);
-            self.out.log.push(format!("health {healthy}: runs at {pace:.1} of cost, {unread:.0} ms unread"));
+            let pace = self.pace;
+            self.out.log.extend(sick.then(|| format!("health off: pace {pace:.1}, {unread:.0} us unread")));
         }
         let idle = (self.cores.running as f64) < target && self.hold.order.is_empty() && crowd <= 1.0;
         let share = target / (target + self.hold.order.len() as f64) / crowd * f64::from(u8::from(healthy));
@@ -734,8 +753,8 @@
     /// What falls due is answered. A held RPC that can't be ok in time any more is pushed back; at a call
     /// that can be skipped, what remains is done without it.
     fn rule_due(&mut self) -> bool {
-        let first = self.alarms.first().copied().filter(|(t, _)| *t <= self.now);
-        let Some((_, id)) = first else { return false };
+        let first = self.alarms.first().copied();
+        let Some((_, id)) = first.filter(|(t, _)| *t <= self.now) else { return false };
         match self.rpcs.get(&id) {
             Some(r) if r.stage == Stage::Held => self.push_back(id, true),
             Some(r) if r.stage == Stage::AtCall && self.skippable(r) => {
@@ -752,7 +771,7 @@
     }
 
     fn skippable(&self, r: &Rpc) -> bool {
-        self.methods[r.method.0].skip_share > 0.0 && self.now < r.last_good
+        self.methods[r.a.method.0].skip_share > 0.0 && self.now < r.last_good
     }
 
     /// A call is placed within the bound; it is skipped, or the RPC given up, once calling has no prospect.
@@ -760,12 +779,12 @@
         let shut = self.calls.shut(self.now);
         let room = !shut && self.calls.room(self.now);
         let ready = |p: &&Place| {
-            self.rpcs.get(&p.3).is_some_and(|r| room || !r.may_call || shut && self.skippable(r))
+            self.rpcs.get(&p.3).is_some_and(|r| room || r.tries == 0 || shut && self.skippable(r))
         };
         let Some(place) = self.at_call.iter().find(ready).copied() else { return false };
         let (id, r) = (place.3, &self.rpcs[&place.3]);
-        let (wait, due) = (if room && r.may_call { r.alarm.saturating_sub(self.now) } else { 0 }, r.due);
-        if wait == 0 {
+        let (wait, due) = (r.alarm.saturating_sub(self.now), r.due);
+        if !room || r.tries == 0 || wait == 0 {
             self.set_alarm(id, self.now);
             return self.rule_due();
         }
@@ -784,18 +803,14 @@
         let back = (self.at_call.len() + self.calls.placed) as f64;
         let most = self.target.max_parallel_reqs(self.now);
         let room = most.min(self.target.survives(self.now).max(1.0) - back) - self.cores.running as f64;
-        if room < 1.0 {
-            return false;
-        }
         let Some(place) = self.hold.order.first().copied() else { return false };
         let r = &self.rpcs[&place.3];
-        let (more, work, keys) = (r.size_kb * (self.memory.factor - 1.0), r.work, self.keys.used());
-        if !self.memory.fits(keys, more) {
+        let (more, work) = (r.a.size_kb * (self.memory.factor - 1.0), r.work);
+        if room < 1.0 || !self.memory.fits(self.keys.used(), more) {
             return false;
         }
         self.memory.used += more;
         self.hold.drop(place, work);
-        self.rpcs.entry(place.3).and_modify(|r| r.begun = self.now);
         self.on_cores(place.3);
         self.out.runs.push(place.3);
         true
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,6 @@
 //! The mechanism, what it keeps of its source and where it departs from it: `docs/design.md`.
 
 mod control;
-mod records;
 #[cfg(test)]
 mod tests;
 mod types;
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -132,7 +132,7 @@
             Keys::new(KEY_KB, 0),
             Memory::new(drawn.ram, FACTOR),
             Drain::new(GRACE),
-            Credit::new(drawn.say, 1_000 * MS, 500 * MS),
+            Credit::new(drawn.say, 1_000 * MS, 500 * MS, 30_000 * MS),
             Shares::new(&[], 3, 1.0),
         );
         let (wakes, rpcs, keys) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
@@ -310,7 +310,8 @@
                 Some((at, id)) if at <= wake => self.end_call(id, CallEnd::TimedOut),
                 _ => {
                     self.wakes.remove(&wake);
-                    let out = self.control.woken(self.now, Gauges { on_cores: Some(1.0), heap_share: None });
+                    let out =
+                        self.control.woken(self.now, Gauges { on_cores: Some(1.0), ..Gauges::default() });
                     self.apply(out);
                 }
             }
@@ -444,7 +445,7 @@
 #[test]
 fn an_account_recharges_by_mrr_and_is_corrected_in_the_order_of_the_source() {
     let (caller, mut accounts) = (CallerId(1), Accounts::new(500 * MS, 1));
-    accounts.share_out(0, 4.0, 1e6);
+    accounts.share_out(0, 4.0, &[control::Cost::new(1e3)]);
     assert_eq!((accounts.mrr, accounts.buf_limit), (4e6, 1e9));
     assert_eq!(accounts.take(0, caller, 6e8), (6e8, 0.4));
     accounts.correct(0, caller, 6e8, 5e8, 3e8);
@@ -473,7 +474,7 @@
     let running = busy(&mut world, CORES + 1);
     let thick = world.read(0, 0, 0, 1_500 * MS, None);
     let thin = world.read(0, 1, 0, 1_500 * MS, None);
-    let dear = world.read(1, 0, 0, 1_500 * MS, None);
+    let dear = world.read(1, 2, 0, 1_500 * MS, None);
     for (i, next) in [dear, thin, thick].into_iter().enumerate() {
         world.end_run(running[i], RunEnd::Ok);
         assert_eq!(world.rpcs[&next].at, At::Running, "turn {i}");
@@ -493,7 +494,7 @@
 #[test]
 fn the_target_rises_while_cores_idle_and_never_falls_below_cores() {
     let mut target = Target::new(0, 4, 8.0, 1.0, MS);
-    let idle = Gauges { on_cores: Some(2.0), heap_share: None };
+    let idle = Gauges { on_cores: Some(2.0), ..Gauges::default() };
     target.adjust(MS, idle, 4.0, 1.0);
     assert!(target.target > 4.0);
     (0..50).for_each(|_| target.adjust(MS, idle, 99.0, 1.0));
@@ -532,6 +533,23 @@
     assert_eq!(world.health, Some(true));
 }
 
+#[test]
+fn connections_that_bring_nothing_close_sooner_and_stay_open_again_once_they_are_few() {
+    let mut world = quiet();
+    world.read(0, 0, 0, 1_500 * MS, None);
+    let mut beat = |links| {
+        world.now += 100 * MS;
+        world.control.woken(world.now, Gauges { links: Some(links), ..Gauges::default() }).close_idle
+    };
+    assert_eq!(beat(2.0), None, "two for one active caller are no crowd");
+    assert_eq!((beat(90.0), beat(90.0)), (Some(15_000 * MS), Some(7_500 * MS)));
+    for _ in 0..20 {
+        assert!(beat(90.0).is_none_or(|span| span >= 100 * MS), "never shorter than a beat");
+    }
+    let grown: Vec<Us> = (0..20).filter_map(|_| beat(0.0)).collect();
+    assert_eq!(grown.last(), Some(&(30_000 * MS)), "and no longer than callers keep them");
+}
+
 #[test]
 fn an_idle_server_takes_callers_whose_patience_differs() {
     let mut world = quiet();
--- a/src/types.rs
+++ b/src/types.rs
@@ -123,6 +123,18 @@
     pub key: Option<u64>,
 }
 
+/// Where an RPC stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    Held,
+    /// Waits for the one that it repeats.
+    Joined,
+    Running,
+    /// Off the cores, waiting for leave to call.
+    AtCall,
+    Calling,
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunEnd {
@@ -153,6 +165,8 @@
     pub on_cores: Option<f64>,
     /// Share of memory in use.
     pub heap_share: Option<f64>,
+    /// Connections open.
+    pub links: Option<f64>,
 }
 
 /// A final answer given by the module itself.
@@ -187,6 +201,8 @@
     pub credit: Option<f64>,
     /// The answer to health checks from now on, given from store.
     pub health: Option<bool>,
+    /// Connections idle for this long are to be closed.
+    pub close_idle: Option<Us>,
     /// Span after which to wake the module, besides the wakes asked for before.
     pub wake: Option<Us>,
     /// Lines for the operators' log.
