Pushbacks tell the time until an RPC like it could be taken

Cause: the time told was the RPC's whole cost over mrr, which with many callers is always the longest that is relayed, and clients that wait a second come back too late for their target. Told now: by how much the estimate misses the target, or what the account lacks over mrr.

--- a/src/control.rs
+++ b/src/control.rs
@@ -605,15 +605,17 @@
         }
         let fits = self.memory.fits(self.keys.used() + if keep > 0 { self.keys.kb } else { 0.0 }, 0.0);
         let wait = self.hold.ahead(place.0) * pace / self.target.target;
-        let hopeless = now as f64 + wait + whole > good as f64 && self.cores.running > 0;
-        if late || now >= due || !fits || hopeless || self.still() {
-            return self.push_back(id, hopeless && !self.still());
+        let over = now as f64 + wait + whole - good as f64;
+        let (hopeless, still) = (over > 0.0 && self.cores.running > 0, self.still());
+        if late || now >= due || !fits || hopeless || still {
+            return self.push_back(id, hopeless && !still, if hopeless { over } else { 0.0 });
         }
         let top = self.methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
         let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / top);
         let full = self.cores.running as f64 >= self.target.target && !self.hold.order.is_empty();
         if full && buf_value < max_cost + reserve {
-            return self.push_back(id, true);
+            let short = (max_cost + reserve - buf_value) / self.accounts.mrr * 1e3;
+            return self.push_back(id, true, short);
         }
         let (taken, fill) = self.accounts.take(now, caller, max_cost);
         place.1 = Reverse((fill * 1e6) as u64);
@@ -694,9 +696,9 @@
         }
     }
 
-    fn push_back(&mut self, id: RpcId, terminal: bool) {
-        let dear = self.rpcs.get(&id).map_or(0.0, |r| self.costs[r.a.method.0].max_cost());
-        let come_back = ((dear * 1e6 / self.accounts.mrr) as Us).min(self.credit.come_back);
+    /// `wait`: how long from now an RPC like it could be taken, in microseconds.
+    fn push_back(&mut self, id: RpcId, terminal: bool, wait: f64) {
+        let come_back = (wait as Us).min(self.credit.come_back);
         self.out.answers.push((id, Answer::PushedBack { terminal, come_back }));
         self.answered(id);
     }
@@ -756,7 +758,7 @@
         let first = self.alarms.first().copied();
         let Some((_, id)) = first.filter(|(t, _)| *t <= self.now) else { return false };
         match self.rpcs.get(&id) {
-            Some(r) if r.stage == Stage::Held => self.push_back(id, true),
+            Some(r) if r.stage == Stage::Held => self.push_back(id, true, 0.0),
             Some(r) if r.stage == Stage::AtCall && self.skippable(r) => {
                 self.at_call.remove(&r.place);
                 self.out.skips.push(id);
