--- a/src/control.rs
+++ b/src/control.rs
@@ -604,8 +604,7 @@
             return self.set_alarm(id, if room { due } else { now });
         }
         let fits = self.memory.fits(self.keys.used() + if keep > 0 { self.keys.kb } else { 0.0 }, 0.0);
-        let wait = self.hold.ahead(place.0) * pace / self.target.target;
-        let over = now as f64 + wait + whole - good as f64;
+        let over = now as f64 + self.hold.ahead(place.0) * pace / self.target.target + whole - good as f64;
         let (hopeless, still) = (over > 0.0 && self.cores.running > 0, self.still());
         if late || now >= due || !fits || hopeless || still {
             return self.push_back(id, hopeless && !still, if hopeless { over } else { 0.0 });
@@ -614,8 +613,7 @@
         let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / top);
         let full = self.cores.running as f64 >= self.target.target && !self.hold.order.is_empty();
         if full && buf_value < max_cost + reserve {
-            let short = (max_cost + reserve - buf_value) / self.accounts.mrr * 1e3;
-            return self.push_back(id, true, short);
+            return self.push_back(id, true, (max_cost + reserve - buf_value) / self.accounts.mrr * 1e3);
         }
         let (taken, fill) = self.accounts.take(now, caller, max_cost);
         place.1 = Reverse((fill * 1e6) as u64);
