--- a/src/control.rs
+++ b/src/control.rs
@@ -11,8 +11,6 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-// Tuned values: ratios to figures from the settings or to what is measured, each with its reason.
-
 const HEADROOM: f64 = 1.25; // max_parallel_reqs over target_parallel_reqs: runs above it before RPCs wait
 const SAFE: f64 = 0.8; // share made use of, of the crowd, the memory and the calls below that are survived
 const BUF_SPAN: f64 = 0.5; // buf_limit over mrr, in shortest latency targets: such a burst is still in time
@@ -28,6 +26,7 @@
 const ACTIVE: Us = 1_000_000; // callers heard of within it share the target (the source's last second)
 const BEATS: u64 = 10; // beats in that time
 const CALLS_PER_CORE: f64 = 3.0; // bound on calls in hand where no share is told
+const CALLING: f64 = 0.5; // of a run that counts while it calls: it comes back to cores that others took
 const TRIES: u32 = 2; // failures of a call after which it is left out or its RPC given up
 const FAILURES: u32 = 5; // failed calls in a row that open the breaker
 const BREAK: f64 = 0.5; // its pause before a trial, in shortest latency targets
@@ -800,13 +799,13 @@
     /// The first in the hold starts while fewer than max_parallel_reqs run and its memory fits.
     fn rule_run(&mut self) -> bool {
         // All that is at a call may come back at once: together they stay under the crowd survived.
-        let back = (self.at_call.len() + self.calls.placed) as f64;
-        let most = self.target.max_parallel_reqs(self.now);
-        let room = most.min(self.target.survives(self.now).max(1.0) - back) - self.cores.running as f64;
+        let (placed, waiting) = (self.calls.placed as f64, self.at_call.len() as f64);
+        let survives = self.target.survives(self.now).max(1.0) - placed - waiting;
+        let most = (self.target.max_parallel_reqs(self.now) - CALLING * placed).min(survives);
         let Some(place) = self.hold.order.first().copied() else { return false };
         let r = &self.rpcs[&place.3];
         let (more, work) = (r.a.size_kb * (self.memory.factor - 1.0), r.work);
-        if room < 1.0 || !self.memory.fits(self.keys.used(), more) {
+        if self.cores.running as f64 + 1.0 > most || !self.memory.fits(self.keys.used(), more) {
             return false;
         }
         self.memory.used += more;
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -616,6 +616,18 @@
     assert_eq!(world.rpcs[&id].at, At::Running, "skipped before the latency target");
 }
 
+#[test]
+fn what_calls_counts_by_half_as_running() {
+    let mut world = World::new(Drawn { below: Below::Tier, ..Drawn::default() }, 1);
+    let running = busy(&mut world, CORES + 1);
+    let held = [world.read(0, 1, 0, 1_500 * MS, None), world.read(0, 2, 0, 1_500 * MS, None)];
+    world.need_call(running[0]);
+    assert_eq!(world.rpcs[&held[0]].at, At::Held, "half a run has left the cores");
+    world.need_call(running[1]);
+    let started = held.iter().filter(|id| world.rpcs[*id].at == At::Running).count();
+    assert_eq!(started, 1, "two halves make room for one");
+}
+
 #[test]
 fn callers_that_leave_do_not_stop_the_calls() {
     let mut world = World::new(Drawn { below: Below::Tier, ..Drawn::default() }, 1);
