--- a/src/control.rs
+++ b/src/control.rs
@@ -2,7 +2,7 @@
 //!
 //! How callers reach it: a server keeps one `Control`, made by `Control::new` from its parts. For each thing
 //! that happens it calls `rpc_read`, `caller_gone`, `run_ended`, `call_needed`, `call_ended`, `drain` or
-//! `woken`, and carries out the `Outcome` handed back. The interface is defined in `types.rs`, the wire ends in
+//! `woken`, and carries out the `Outcome` handed back. The interface is in `types.rs`; the wire ends in
 //! `drill/`. `RULES` below are gone through in order until none fires. Reasons: `docs/design.md`.
 
 use crate::types::*;
