--- a/src/control.rs
+++ b/src/control.rs
@@ -20,7 +20,7 @@
 const COST_MEMORY: f64 = 40.0; // runs that a method's learned cost remembers
 const PACE_MEMORY: f64 = 12.0; // runs of any method that the server's pace remembers
 const VARIES: f64 = 1.6; // max_cost over the mean; a pace within it may be chance: work varies by its mean
-const FAR: f64 = 5.0; // times the ordinary, of a run's cost or of UNREAD: broken or too old, not just busy
+const FAR: f64 = 5.0; // times max_cost without a run ending: broken, not just busy
 const RISE: f64 = 1.1; // of the target at each beat; it falls half as fast
 const ACTIVE: Us = 1_000_000; // callers heard of within it share the target (the source's last second)
 const BEATS: u64 = 10; // beats in that time
@@ -725,13 +725,11 @@
         // Guards against arrivals outrunning the reading: what callers send is cut as the time unread grows.
         let unread = self.credit.unread.add(self.now, 0.0) / self.credit.read.add(self.now, 0.0).max(1.0);
         let (crowd, target) = ((unread / self.credit.fine).max(1.0), self.target.target);
-        // Reading and runs that share the cores explain a pace of 1 + HEADROOM; beyond it the cores are slow.
-        let sick = self.still() || crowd > FAR && self.pace > 1.0 + HEADROOM;
-        let healthy = self.drain.notice.is_none() && !sick;
+        let still = self.still();
+        let healthy = self.drain.notice.is_none() && !still;
         if self.credit.healthy.replace(healthy) != Some(healthy) {
             self.out.health = Some(healthy);
-            let pace = self.pace;
-            self.out.log.extend(sick.then(|| format!("health off: pace {pace:.1}, {unread:.0} us unread")));
+            self.out.log.extend(still.then(|| "health off: work stopped finishing".into()));
         }
         let idle = (self.cores.running as f64) < target && self.hold.order.is_empty() && crowd <= 1.0;
         let share = target / (target + self.hold.order.len() as f64) / crowd * f64::from(u8::from(healthy));
