--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,7 @@
 const RISE: f64 = 1.1; // of the target at each beat; it falls half as fast
 const ACTIVE: Us = 1_000_000; // callers heard of within it share the target (the source's last second)
 const BEATS: u64 = 10; // beats in that time
+const AHEAD: f64 = 2.5; // a wait over the work that stands ahead: more that ranks above is still to come
 const CALLS_PER_CORE: f64 = 3.0; // bound on calls in hand where no share is told
 const CALLING: f64 = 0.5; // of a run that counts while it calls: it comes back to cores that others took
 const TRIES: u32 = 2; // failures of a call after which it is left out or its RPC given up
@@ -248,8 +249,7 @@
         }
     }
     fn ahead(&self, band: Reverse<u64>) -> f64 {
-        // More than what is there: some that rank above are still to come.
-        VARIES * self.work.range(..=band).map(|(_, w)| w).sum::<f64>().max(0.0)
+        AHEAD * self.work.range(..=band).map(|(_, w)| w).sum::<f64>().max(0.0)
     }
 }
 
