--- a/src/control.rs
+++ b/src/control.rs
@@ -136,7 +136,7 @@
 
 /// The accounts of the callers, in nanoseconds of serving time.
 pub struct Accounts {
-    of: BTreeMap<CallerId, Account>,
+    pub(crate) of: BTreeMap<CallerId, Account>,
     heard: BTreeSet<(Us, CallerId)>,
     span: f64,
     active: f64,
@@ -164,7 +164,7 @@
     }
 
     /// The caller sent an RPC. Hands back its buf_value.
-    fn hear(&mut self, now: Us, caller: CallerId) -> f64 {
+    pub(crate) fn hear(&mut self, now: Us, caller: CallerId) -> f64 {
         let a = self.recharge(now, caller);
         let (before, buf_value) = (std::mem::replace(&mut a.last_seen, now), a.buf_value);
         self.heard.remove(&(before, caller));
@@ -405,7 +405,7 @@
         let here = |rate: &f64| (rate / replicas.max(1) as f64, TENANT_RPCS, 0);
         Shares { rates: rates.iter().map(here).collect(), worth }
     }
-    fn worth(&mut self, now: Us, tenant: Option<usize>) -> f64 {
+    pub(crate) fn worth(&mut self, now: Us, tenant: Option<usize>) -> f64 {
         let Some((rate, room, at)) = tenant.and_then(|t| self.rates.get_mut(t)) else { return 1.0 };
         *room = (*room + *rate * (now - *at) as f64 / 1e6).min(TENANT_RPCS);
         *at = now;
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -559,6 +559,51 @@
     assert_eq!(world.rpcs[&hasty].at, At::Running, "a shorter wait is no sign of an old try");
 }
 
+#[test]
+fn a_server_that_is_slow_and_behind_stays_on_the_list() {
+    let mut world = quiet();
+    for _ in 0..40 {
+        let id = world.read(0, 0, 400 * MS, 1_500 * MS, None);
+        world.pass(400 * MS);
+        if world.rpcs[&id].ran && !world.rpcs[&id].over {
+            world.end_run(id, RunEnd::Ok);
+        }
+    }
+    assert!(world.credit.unwrap() < 1.0, "callers are asked to send less");
+    assert_eq!(world.health, Some(true), "leaving would push the others over");
+}
+
+#[test]
+fn what_ranks_low_is_pushed_back_early_when_its_wait_would_be_in_vain() {
+    let mut world = quiet();
+    busy(&mut world, CORES + 1);
+    let high: Vec<RpcId> = (1..8).map(|caller| world.read(1, caller, 0, 1_500 * MS, None)).collect();
+    assert!(high.iter().all(|id| world.rpcs[id].owed));
+    let low = world.read(0, 9, 0, 1_500 * MS, None);
+    assert!(!world.rpcs[&low].owed, "seven above it, and more of them to come");
+}
+
+#[test]
+fn thousands_of_callers_share_the_target_by_those_heard_in_the_last_second() {
+    let mut accounts = Accounts::new(500 * MS, 3_000);
+    for caller in 0..3_000 {
+        accounts.hear(caller * MS, CallerId(caller));
+    }
+    accounts.share_out(3_000 * MS, 4.0, &[control::Cost::new(1e3)]);
+    assert_eq!(accounts.mrr, 4e6 / 1_000.0);
+    accounts.share_out(90_000 * MS, 4.0, &[control::Cost::new(1e3)]);
+    assert_eq!((accounts.mrr, accounts.of.len()), (4e6, 0), "long unused accounts are forgotten");
+}
+
+#[test]
+fn a_tenant_ranks_lower_only_well_above_its_share() {
+    let mut shares = Shares::new(&[10.0], 5, 0.1);
+    let taken = |shares: &mut Shares, now| (0..20).filter(|_| shares.worth(now, Some(0)) == 1.0).count();
+    assert_eq!(taken(&mut shares, 0), 10, "ten at once are chance where two a second are its share");
+    assert_eq!(taken(&mut shares, 2_000 * MS), 4);
+    assert_eq!(shares.worth(2_000 * MS, None), 1.0, "no tenant, no share");
+}
+
 #[test]
 fn credit_is_cut_while_arrivals_lie_unread() {
     let mut world = quiet();
