--- a/src/control.rs
+++ b/src/control.rs
@@ -34,6 +34,7 @@
 const UNREAD: f64 = 0.1; // mean time unread, in shortest latency targets: above it reading is behind
 const CREDIT_STEP: f64 = 0.1; // share by which the credit moves before it is published anew
 const LINKS: f64 = 2.0; // open connections for each active caller, above which idle ones close sooner
+const LINKS_PER_CORE: f64 = 10.0; // that stay open anyway: a table holds more, and each handshake is work
 const TENANT_RPCS: f64 = 10.0; // by which a tenant may exceed its share here: fewer are chance
 
 /// A sum that forgets: brought up to date when read.
@@ -382,9 +383,9 @@
     /// Guards against a table full of connections that bring nothing: they tax the cores and leave callers
     /// without one. While more are open than twice the active callers need, idle ones close sooner. It also
     /// covers a fleet or a crowd of callers that has grown. Harm: a handshake for a caller that pauses.
-    fn close_idle(&mut self, open: f64, active: f64) -> Option<Us> {
+    fn close_idle(&mut self, open: f64, active: f64, cores: f64) -> Option<Us> {
         let (before, least) = (self.idle, ACTIVE / BEATS);
-        if open > LINKS * active {
+        if open > (LINKS * active).max(LINKS_PER_CORE * cores) {
             self.idle = (before / 2).max(least).min(self.longest);
         } else if open < LINKS * active / 2.0 {
             self.idle = (before * 2).min(self.longest);
@@ -533,7 +534,9 @@
             c.keys.until.retain(|_, until| *until > c.now);
             c.target.adjust(c.now, gauges, c.cores.running as f64, c.pace);
             c.accounts.share_out(c.now, c.target.target, &c.costs);
-            c.out.close_idle = gauges.links.and_then(|open| c.credit.close_idle(open, c.accounts.active));
+            let cores = c.target.cores;
+            c.out.close_idle =
+                gauges.links.and_then(|open| c.credit.close_idle(open, c.accounts.active, cores));
             // With nothing to run, nothing tells of a recovery: the pace is forgiven step by step.
             if c.cores.running == 0 {
                 c.pace += (1.0 - c.pace) / PACE_MEMORY / BEATS as f64;
