--- a/src/control.rs
+++ b/src/control.rs
@@ -534,9 +534,8 @@
             c.keys.until.retain(|_, until| *until > c.now);
             c.target.adjust(c.now, gauges, c.cores.running as f64, c.pace);
             c.accounts.share_out(c.now, c.target.target, &c.costs);
-            let cores = c.target.cores;
-            c.out.close_idle =
-                gauges.links.and_then(|open| c.credit.close_idle(open, c.accounts.active, cores));
+            let (active, cores) = (c.accounts.active, c.target.cores);
+            c.out.close_idle = gauges.links.and_then(|open| c.credit.close_idle(open, active, cores));
             // With nothing to run, nothing tells of a recovery: the pace is forgiven step by step.
             if c.cores.running == 0 {
                 c.pace += (1.0 - c.pace) / PACE_MEMORY / BEATS as f64;
