Waits by a thread of our own: timers of under a millisecond never came back

Ruled out: signals (the notice arrived), the core (its test leaves in time), the flush before the end. Fault: net/src/clock.rs wait_until. Now one plain thread keeps who waits until when and unparks them onto the worker. Without the mend the new test of short waits hangs.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -61,8 +61,8 @@
     Held,
     /// Waits for the RPC that it repeats.
     Joined(RpcId),
-    /// Goes on at the agent. Until the agent tells more of it, the last command may have been lost.
-    Running(Sent),
+    /// Goes on at the agent since the last command, sent by this link. If that broke, it may have been lost.
+    Running(Sent, u64),
     AtCall(NoticeId),
     Calling(NoticeId, LinkId, Us),
 }
@@ -89,7 +89,7 @@
     /// Of the RPC until it has been started, then of its call, then the reply to that.
     body: Option<Buf>,
     link: LinkId,
-    stopped: bool,
+    stopped: Option<u64>, // the link by which the agent was told to
 }
 
 /// A read that may serve others: open, or ended ok with its result.
@@ -124,6 +124,7 @@
     credit: Option<f64>,
     healthy: bool,
     last: NoticeId,
+    agent_link: u64, // counts the links to the agent
     tag: u64,
     resync: Option<u64>, // the sample after which all that was missed has been read
     up: bool,
@@ -155,6 +156,7 @@
             credit: None,
             healthy: true,
             last: NoticeId(0),
+            agent_link: 0,
             tag: 0,
             resync: None,
             up: false,
@@ -192,7 +194,7 @@
             self.kept.insert(id, Kept { key: (method, key), until: Us::MAX, result: None });
         }
         let body = Some(body);
-        let rpc = Rpc { place, prior, owed: true, method, stage, body, link, stopped: false };
+        let rpc = Rpc { place, prior, owed: true, method, stage, body, link, stopped: None };
         self.open.insert(id, rpc);
         self.owed.insert(place, id);
         let arrival = Arrival {
@@ -260,6 +262,10 @@
     pub fn owed_on(&self, conn: ConnId) -> usize {
         self.on(conn).count() + self.exercise.asking.iter().filter(|place| place.conn == conn).count()
     }
+    /// RPCs that are not over.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
     /// Answers owed in all.
     pub fn owed(&self) -> usize {
         self.owed.len()
@@ -294,8 +300,9 @@
         }
     }
 
-    /// The number of the last notice read.
-    pub fn last_notice(&self) -> NoticeId {
+    /// A new link to the agent stands. Hands back the number of the last notice read.
+    pub fn agent_link(&mut self) -> NoticeId {
+        self.agent_link += 1;
         self.last
     }
 
@@ -324,17 +331,22 @@
         self.up
     }
 
-    /// What may have been lost with a link is sent again; for what arrived it changes nothing.
+    /// What may have been lost with an earlier link is sent again; for what arrived it changes nothing.
     fn send_again(&mut self, wire: &mut dyn Wire) {
-        for (id, rpc) in &self.open {
+        let now = self.agent_link;
+        for (id, rpc) in &mut self.open {
             let body = rpc.body.as_ref().map_or(&[][..], |body| &body[..]);
-            match rpc.stage {
-                Stage::Running(Sent::Launch) => wire.launch(*id, &self.methods[rpc.method.0], body),
-                Stage::Running(Sent::Deliver) => wire.deliver(*id, body),
-                Stage::Running(Sent::Skip(asked)) => wire.skip(*id, asked),
-                _ => {}
+            if let Stage::Running(sent, link) = &mut rpc.stage {
+                if std::mem::replace(link, now) < now {
+                    match sent {
+                        Sent::Launch => wire.launch(*id, &self.methods[rpc.method.0], body),
+                        Sent::Deliver => wire.deliver(*id, body),
+                        Sent::Skip(asked) => wire.skip(*id, *asked),
+                    }
+                }
             }
-            if rpc.stopped {
+            if rpc.stopped.is_some_and(|link| link < now) {
+                rpc.stopped = Some(now);
                 wire.stop(*id);
             }
         }
@@ -394,12 +406,21 @@
         self.keep_result(id, result, ok);
         let outcome = self.server.control.run_ended(self.now, id, end);
         self.carry(outcome, wire);
-        let joined = |r: &Rpc| r.stage == Stage::Joined(id);
-        while let Some(next) = self.open.iter().find(|(_, r)| joined(r)).map(|(next, _)| *next) {
+        for next in self.joined_to(id) {
             self.end_join(next, Some(result).filter(|_| ok), wire);
         }
     }
 
+    /// The RPCs that wait for this one; only one that is kept has any.
+    fn joined_to(&self, id: RpcId) -> Vec<RpcId> {
+        let joined = self.open.iter().filter(|(_, r)| r.prior == Some(id) && r.stage == Stage::Joined(id));
+        if self.server.fresh > 0 {
+            joined.map(|(next, _)| *next).collect()
+        } else {
+            Vec::new()
+        }
+    }
+
     /// A joined RPC gets its own answer, with the result of the run that it waited for.
     fn end_join(&mut self, id: RpcId, result: Option<&[u8]>, wire: &mut dyn Wire) {
         self.answer(id, result.map_or(Final::Aborted, Final::Ok), wire);
@@ -433,7 +454,7 @@
         if !self.fresh_notice(number) {
             return;
         }
-        let Some(rpc) = self.open.get_mut(&id).filter(|r| matches!(r.stage, Stage::Running(_))) else {
+        let Some(rpc) = self.open.get_mut(&id).filter(|r| matches!(r.stage, Stage::Running(..))) else {
             self.counters.stale += 1;
             return;
         };
@@ -464,7 +485,7 @@
         if end == CallEnd::Ok {
             match self.pool.hold(reply) {
                 Some(held) => {
-                    (rpc.stage, rpc.body) = (Stage::Running(Sent::Deliver), Some(held));
+                    (rpc.stage, rpc.body) = (Stage::Running(Sent::Deliver, self.agent_link), Some(held));
                     wire.deliver(id, reply);
                 }
                 None => end = CallEnd::Aborted,
@@ -588,8 +609,8 @@
             Stage::Held => {
                 self.open.remove(&id);
                 self.forget(id);
-                let joined = self.open.iter().filter(|(_, r)| r.stage == Stage::Joined(id));
-                self.later.extend(joined.map(|(next, _)| Later::JoinEnds(*next)));
+                let joined = self.joined_to(id);
+                self.later.extend(joined.into_iter().map(Later::JoinEnds));
             }
             Stage::Joined(_) => {
                 self.open.remove(&id);
@@ -614,7 +635,7 @@
         }
         for id in outcome.stops {
             if let Some(rpc) = self.open.get_mut(&id) {
-                rpc.stopped = true;
+                rpc.stopped = Some(self.agent_link);
                 wire.stop(id);
             }
         }
@@ -631,7 +652,7 @@
         }
         for id in outcome.runs {
             let Some(rpc) = self.open.get_mut(&id) else { continue };
-            rpc.stage = Stage::Running(Sent::Launch);
+            rpc.stage = Stage::Running(Sent::Launch, self.agent_link);
             self.counters.runs += 1;
             let body = rpc.body.as_ref().map_or(&[][..], |body| &body[..]);
             wire.launch(id, &self.methods[rpc.method.0], body);
@@ -642,7 +663,7 @@
         for id in outcome.skips {
             let Some(rpc) = self.open.get_mut(&id) else { continue };
             if let Stage::AtCall(asked) = rpc.stage {
-                rpc.stage = Stage::Running(Sent::Skip(asked));
+                rpc.stage = Stage::Running(Sent::Skip(asked), self.agent_link);
                 self.counters.skips += 1;
                 wire.skip(id, asked);
             }
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -8,7 +8,7 @@
 use asterrill_protocol::frames::{self, Final, ANSWER_HEAD};
 use asterrill_protocol::records;
 use slog::{info, Logger};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Mutex, MutexGuard};
 
 const HALF: Us = 5_000_000; // a frame that came by half is waited for so long
@@ -19,8 +19,6 @@
 struct Line {
     out: Outbox,
     halfway: Option<Us>,
-    /// No more is read: it is closed once nothing is owed on it.
-    ending: bool,
     /// When the sidecar was told that it is not wanted any more.
     leaving: Option<Us>,
 }
@@ -28,6 +26,8 @@
 /// The outboxes: what the core has written goes through here.
 struct Ports {
     lines: BTreeMap<ConnId, Line>,
+    /// Connections of which no more is read: each is closed once nothing is owed on it.
+    ending: BTreeSet<ConnId>,
     agent: Outbox,
     below: Vec<Outbox>,
     serving: Option<bool>,
@@ -58,6 +58,7 @@
     pub fn new(core: Core, agent: Outbox, below: Vec<Outbox>, idle: Us, pool: Pool, log: Logger) -> Hub {
         let ports = Ports {
             lines: BTreeMap::new(),
+            ending: BTreeSet::new(),
             agent,
             below,
             serving: None,
@@ -80,11 +81,7 @@
         let Inner { core, ports, armed, .. } = &mut *inner;
         let told = ports.serving;
         let result = input(core, ports, now());
-        for (conn, line) in ports.lines.iter().filter(|(_, line)| line.ending) {
-            if core.owed_on(*conn) == 0 {
-                line.out.finish();
-            }
-        }
+        ports.finish(core);
         if ports.serving != told {
             self.naming.ring();
         }
@@ -117,7 +114,7 @@
         if inner.ports.draining {
             inner.ports.leave(&out);
         }
-        inner.ports.lines.insert(conn, Line { out, halfway: None, ending: false, leaving: None });
+        inner.ports.lines.insert(conn, Line { out, halfway: None, leaving: None });
         conn
     }
 
@@ -127,7 +124,9 @@
             core.counters.broken += u64::from(broken);
             core.conn_ended(now, conn, wire);
         });
-        self.inner().ports.lines.remove(&conn);
+        let mut inner = self.inner();
+        inner.ports.lines.remove(&conn);
+        inner.ports.ending.remove(&conn);
     }
 
     /// After bytes of a connection were taken: whether it stands in the middle of a frame.
@@ -143,16 +142,14 @@
         let mut inner = self.inner();
         let Inner { core, ports, .. } = &mut *inner;
         let Some(line) = ports.lines.get_mut(&conn) else { return };
-        line.ending = true;
+        ports.ending.insert(conn);
         if let Some(text) = error {
             info!(ports.log, "a sidecar's connection is closed"; "why" => text);
             ports.scratch.clear();
             frames::error(&mut ports.scratch, text);
             line.out.put(&[&ports.scratch]);
         }
-        if core.owed_on(conn) == 0 {
-            line.out.finish();
-        }
+        ports.finish(core);
     }
 
     /// Lets connections go that have carried nothing for as long as was decided, and those that stopped in
@@ -166,17 +163,16 @@
         let mut leave = Vec::new();
         for (conn, line) in &mut ports.lines {
             let quiet = now.saturating_sub(line.out.used());
-            if line.halfway.is_some_and(|since| since + HALF < now) && !line.ending {
+            if line.halfway.is_some_and(|since| since + HALF < now) {
+                line.halfway = None;
                 stuck.push(*conn);
             } else if line.leaving.is_some_and(|since| since + LEAVE < now) {
-                line.ending = true;
-                if core.owed_on(*conn) == 0 {
-                    line.out.finish();
-                }
+                ports.ending.insert(*conn);
             } else if line.leaving.is_none() && quiet > idle && core.owed_on(*conn) == 0 {
                 leave.push(*conn);
             }
         }
+        ports.finish(core);
         for conn in leave {
             core.counters.closed_idle += 1;
             ports.let_go(conn, now);
@@ -211,11 +207,24 @@
     pub fn counters(&self) -> String {
         let inner = self.inner();
         let (out, peak) = self.pool.used();
-        format!("{}open={} buffers={out} buffers_peak={peak}", inner.core.counters, inner.core.owed())
+        let (open, owed) = (inner.core.open(), inner.core.owed());
+        format!("{}open={open} owed={owed} buffers={out} buffers_peak={peak}", inner.core.counters)
     }
 }
 
 impl Ports {
+    /// Closes those of the ending connections on which nothing is owed any more.
+    fn finish(&mut self, core: &Core) {
+        let (lines, ending) = (&self.lines, &mut self.ending);
+        ending.retain(|conn| {
+            let over = core.owed_on(*conn) == 0;
+            if let Some(line) = lines.get(conn).filter(|_| over) {
+                line.out.finish();
+            }
+            !over
+        });
+    }
+
     fn leave(&mut self, out: &Outbox) {
         self.scratch.clear();
         frames::leaving(&mut self.scratch);
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -5,6 +5,8 @@
 mod counters;
 mod hub;
 mod parties;
+#[cfg(test)]
+mod tests;
 
 use crate::config::Deployment;
 use crate::core::{ConnId, Core, LinkId, LINKS};
@@ -36,6 +38,11 @@
 const SETTLE: Us = 5_000; // time for that
 
 fn main() -> ExitCode {
+    // A panic is a defect here. What is left would serve without one of its parts: better to start anew.
+    std::panic::set_hook(Box::new(|panic| {
+        eprintln!("asterrilld: {panic}");
+        std::process::abort();
+    }));
     let drain = slog_term::FullFormat::new(slog_term::PlainDecorator::new(std::io::stderr())).build().fuse();
     let (drain, guard) = slog_async::Async::new(drain).chan_size(512).build_with_guard();
     let log = Logger::root(drain.fuse(), o!());
@@ -59,7 +66,7 @@
 
 fn run(log: &Logger) -> Result<(), Fault> {
     let to = told()?;
-    asterrill_net::one_worker();
+    asterrill_net::one_worker()?;
     let listener = asterrill_net::bind(to.listen).map_err(|e| Fault::new(format!("{}: {e}", to.listen)))?;
     let mut signals = Signals::new([SIGTERM, SIGUSR1])?;
     let mut chance = WyRand::new_seed(to.seed);
--- a/daemon/src/parties.rs
+++ b/daemon/src/parties.rs
@@ -118,7 +118,7 @@
 impl Party for Agent {
     fn up(&mut self) {
         (self.notices, self.bad) = (agent::Reader::default(), false);
-        let last = self.hub.with(|core, _, _| core.last_notice());
+        let last = self.hub.with(|core, _, _| core.agent_link());
         let mut bytes = Vec::new();
         agent::subscribe(&mut bytes, last);
         self.out.put(&[&bytes]);
--- /dev/null
+++ b/daemon/src/tests.rs
@@ -0,0 +1,539 @@
+//! The core against a stand-in for the agent, the layer below and the sidecars: seeded random runs with the
+//! rules checked after every step, and plain cases.
+
+use crate::core::{ConnId, Core, LinkId, Place, Wire};
+use asterrill::{CallEnd, CallerId, RpcId, RunEnd, Us};
+use asterrill_net::Pool;
+use asterrill_protocol::agent::NoticeId;
+use asterrill_protocol::frames::{Ask, Final, StreamId};
+use quickcheck::{Gen, QuickCheck};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const MS: Us = 1_000;
+const START: Us = 1_000_000 * MS;
+const SLACK: Us = 100 * MS;
+
+pub(crate) fn server() -> Value {
+    json!({
+        "Categories": [
+            {"Name": "look", "AimMs": 400, "DeadlineMs": 900, "Effect": "free", "Worth": 1},
+            {"Name": "book", "AimMs": 400, "DeadlineMs": 900, "Effect": "single_shot", "Worth": 3}],
+        "FamilyInfo": {"Below": "tier", "NCores": 2, "RamKb": 4000, "RunFactor": 4, "Say": "window",
+            "StopMode": "abort", "Gauges": ["links", "on_cores"], "FreshMs": 150, "KbPerKey": 1,
+            "ClassSkipWorth": [0.5, 0], "IdleMs": 5000, "LingerMs": 50, "Callers": 2},
+        "Limits": {"RetryAfter": true, "MaxRetryAfterMs": 300},
+        "Safety": {"TipMultiple": 8, "ColdFrom": 0.3, "RampTimeMs": 3000, "StopSendingWithinMs": 400},
+        "StepMs": 4})
+}
+
+enum Told {
+    Ended(RpcId, RunEnd, Vec<u8>),
+    CallNeeded(RpcId, Vec<u8>),
+}
+
+struct Run {
+    waits: Option<(u64, Vec<u8>)>,
+    over: bool,
+    stopped: bool,
+}
+
+/// What has been written, played by a stand-in that takes every command at its word.
+#[derive(Default)]
+struct Out {
+    answers: BTreeMap<Place, (&'static str, Vec<u8>)>,
+    health: Vec<(Place, bool)>,
+    runs: BTreeMap<RpcId, Run>,
+    bodies: BTreeMap<RpcId, Vec<u8>>,
+    called: BTreeMap<RpcId, LinkId>,
+    refuses: bool,
+    deaf: bool,  // commands to the agent are lost
+    again: bool, // what the agent knows already may be said again
+    samples: VecDeque<u64>,
+    exercises: VecDeque<u64>,
+    notices: Vec<Told>,
+    serving: Vec<bool>,
+    left: bool,
+    faults: Vec<String>,
+}
+
+impl Out {
+    fn fault(&mut self, what: &str, id: RpcId) {
+        self.faults.push(format!("{what} {id:?}"));
+    }
+    fn tell(&mut self, told: Told) {
+        self.notices.push(told);
+    }
+    /// The reply to the call with this body, and the result of the run of this RPC.
+    fn reply(body: &[u8]) -> Vec<u8> {
+        [b"re:\r\n", body].concat()
+    }
+    fn result(id: RpcId) -> Vec<u8> {
+        format!("{}\r\n\0made", id.as_str()).into_bytes()
+    }
+}
+
+impl Wire for Out {
+    fn answer(&mut self, to: Place, answer: Final<'_>, _: Option<f64>) {
+        let (what, body) = match answer {
+            Final::Ok(result) => ("ok", result.to_vec()),
+            Final::PushedBack { .. } => ("pushed back", vec![]),
+            Final::Aborted => ("aborted", vec![]),
+        };
+        if self.answers.insert(to, (what, body)).is_some() {
+            self.faults.push(format!("answered twice {to:?}"));
+        }
+    }
+    fn health(&mut self, to: Place, good: bool, _: Option<f64>) {
+        self.health.push((to, good));
+    }
+    fn launch(&mut self, id: RpcId, method: &str, body: &[u8]) {
+        if self.deaf {
+            return;
+        }
+        if self.bodies.get(&id).is_none_or(|b| b != body) || (method != "look" && method != "book") {
+            self.fault("launched with another body or method", id);
+        }
+        match self.runs.get(&id) {
+            Some(run) if run.over || !self.again => self.fault("launched twice", id),
+            Some(_) => {}
+            None => drop(self.runs.insert(id, Run { waits: None, over: false, stopped: false })),
+        }
+    }
+    fn stop(&mut self, id: RpcId) {
+        if let Some(run) = self.runs.get_mut(&id).filter(|_| !self.deaf) {
+            run.stopped = true;
+        }
+    }
+    fn deliver(&mut self, id: RpcId, reply: &[u8]) {
+        if self.deaf {
+            return;
+        }
+        match self.runs.get_mut(&id).and_then(|run| run.waits.take()) {
+            Some((_, body)) if Out::reply(&body) == reply => {}
+            None if self.again => {}
+            _ => self.fault("delivered what was not waited for", id),
+        }
+    }
+    fn skip(&mut self, id: RpcId, asked: NoticeId) {
+        if self.deaf {
+            return;
+        }
+        match self.runs.get_mut(&id).and_then(|run| run.waits.take()) {
+            Some((number, _)) if number == asked.0 => {}
+            None if self.again => {}
+            _ => self.fault("skipped what was not waited for", id),
+        }
+    }
+    fn sample(&mut self, tag: u64) {
+        if !self.deaf {
+            self.samples.push_back(tag);
+        }
+    }
+    fn exercise(&mut self, tag: u64) {
+        if !self.deaf {
+            self.exercises.push_back(tag);
+        }
+    }
+    fn call(&mut self, link: LinkId, id: RpcId, _: Us, _: &[u8]) -> bool {
+        if !self.refuses && self.called.insert(id, link).is_some() {
+            self.fault("called twice", id);
+        }
+        !self.refuses
+    }
+    fn give_up(&mut self, link: LinkId, id: RpcId) {
+        if self.called.remove(&id) != Some(link) {
+            self.fault("gave up what was not called", id);
+        }
+    }
+    fn serving(&mut self, yes: bool) {
+        self.serving.push(yes);
+    }
+    fn leaving(&mut self) {
+        self.left = true;
+    }
+    fn close_idle(&mut self, _: Us) {}
+    fn log(&mut self, _: &str) {}
+}
+
+struct World {
+    core: Core,
+    out: Out,
+    now: Us,
+    asks: BTreeMap<Place, (Ask, bool)>, // and whether its caller is gone
+    read: usize,                        // notices that were read
+    next: u64,
+    killed: Option<Us>,
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let made = asterrill_settings::server(START, seed, &server(), None).unwrap();
+        let mut core = Core::new(START, made, Pool::new(500));
+        let mut out = Out::default();
+        core.start(START, &mut out);
+        core.agent_link();
+        core.agent_up(START, None, &mut out);
+        World { core, out, now: START, asks: BTreeMap::new(), read: 0, next: 0, killed: None }
+    }
+
+    fn ask(&mut self, conn: u64, method: &str, patience: Us, key: Option<u64>) -> Place {
+        self.next += 1;
+        let id = RpcId::new(&format!("{:016x}", self.next)).unwrap();
+        let place = Place { conn: ConnId(conn), stream: StreamId(self.next as u32) };
+        let (caller, due) = (CallerId(conn), self.now + patience);
+        let (method, tenant) = (method.to_string(), String::new());
+        let ask = Ask { id, method, tenant, caller, born: self.now - 3 * MS, due, size_kb: 20.0, key };
+        let body = format!("body\r\n{}", self.next).into_bytes();
+        self.out.bodies.insert(id, body.clone());
+        if self.core.rpc_read(self.now, place, ask.clone(), &body, &mut self.out) {
+            self.asks.insert(place, (ask, false));
+        }
+        place
+    }
+
+    /// The agent ends a run, or lets it wait for a call; the core hears of it when it reads on.
+    fn play(&mut self, n: usize, call: bool) {
+        let going = |r: &&mut Run| !r.over && r.waits.is_none();
+        let count = self.out.runs.values_mut().filter(|r| going(r)).count().max(1);
+        let Some((id, run)) = self.out.runs.iter_mut().filter(|(_, r)| going(r)).nth(n % count) else {
+            return;
+        };
+        let id = *id;
+        let told = if call && !run.stopped {
+            let body = format!("call {n}").into_bytes();
+            run.waits = Some((self.out.notices.len() as u64 + 1, body.clone()));
+            Told::CallNeeded(id, body)
+        } else {
+            run.over = true;
+            let end = match (run.stopped, n % 5) {
+                (true, _) => RunEnd::Stopped,
+                (_, 0) => RunEnd::Aborted,
+                _ => RunEnd::Ok,
+            };
+            Told::Ended(id, end, if end == RunEnd::Ok { Out::result(id) } else { vec![] })
+        };
+        self.out.tell(told);
+    }
+
+    /// Runs that wait for a call end once their RPC is over.
+    fn end_waiting(&mut self) {
+        let answered = |id: &RpcId| {
+            self.asks
+                .iter()
+                .any(|(place, (ask, gone))| ask.id == *id && (*gone || self.out.answers.contains_key(place)))
+        };
+        let over: Vec<RpcId> = self
+            .out
+            .runs
+            .iter()
+            .filter(|(id, r)| r.waits.is_some() && answered(id))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            if let Some(run) = self.out.runs.get_mut(&id) {
+                (run.over, run.waits) = (true, None);
+            }
+            self.out.tell(Told::Ended(id, RunEnd::Stopped, vec![]));
+        }
+    }
+
+    fn read_notices(&mut self, most: usize) {
+        for _ in 0..most {
+            if self.out.deaf || self.read >= self.out.notices.len() {
+                return;
+            }
+            let number = NoticeId(self.read as u64 + 1);
+            self.read += 1;
+            let told =
+                std::mem::replace(&mut self.out.notices[self.read - 1], Told::CallNeeded(none(), vec![]));
+            match &told {
+                Told::Ended(id, end, result) => {
+                    self.core.run_ended(self.now, number, *id, *end, result, &mut self.out)
+                }
+                Told::CallNeeded(id, body) => {
+                    self.core.call_needed(self.now, number, *id, body, &mut self.out)
+                }
+            }
+            self.out.notices[number.0 as usize - 1] = told;
+        }
+    }
+
+    fn reply(&mut self, n: usize, end: CallEnd) {
+        let count = self.out.called.len().max(1);
+        let Some((id, link)) = self.out.called.iter().nth(n % count).map(|(id, link)| (*id, *link)) else {
+            return;
+        };
+        self.out.called.remove(&id);
+        let body = self.out.runs.get(&id).and_then(|r| r.waits.clone()).map_or(vec![], |(_, body)| body);
+        let reply = if end == CallEnd::Ok { Out::reply(&body) } else { vec![] };
+        self.core.call_ended(self.now, link, id, end, &reply, &mut self.out);
+    }
+
+    /// The link to the agent stands again: what was not read comes again.
+    fn link_up(&mut self) {
+        self.out.deaf = false;
+        self.out.samples.clear();
+        let last = self.core.agent_link();
+        self.read = last.0 as usize;
+        self.core.agent_up(self.now, None, &mut self.out);
+        self.read_notices(usize::MAX);
+        self.out.again = true;
+        self.sampled();
+        self.out.again = false;
+    }
+
+    fn sampled(&mut self) {
+        while let Some(tag) = self.out.samples.pop_front() {
+            self.core.sampled(self.now, tag, &[1.0, 1.0], &mut self.out);
+        }
+    }
+
+    fn pass(&mut self, span: Us) {
+        let until = self.now + span;
+        while let Some(at) = self.core.next().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            self.core.tick(self.now, &mut self.out);
+            self.sampled();
+        }
+        self.now = until;
+    }
+
+    fn gone(&mut self, place: Place) {
+        if let Some((_, gone)) = self.asks.get_mut(&place) {
+            *gone |= !self.out.answers.contains_key(&place);
+        }
+        self.core.gone(self.now, place, &mut self.out);
+    }
+
+    fn step(&mut self, what: u8, n: usize) {
+        match what % 16 {
+            0..=3 => {
+                let method = ["look", "look", "book"][n % 3];
+                let key = Some((n % 4) as u64).filter(|_| n % 2 == 0);
+                self.ask(n as u64 % 3, method, [60, 400, 900][n / 3 % 3] * MS, key);
+            }
+            4 | 5 => self.play(n, false),
+            6 => self.play(n, true),
+            7 | 8 => self.read_notices(1 + n % 3),
+            9 => self.reply(n, [CallEnd::Ok, CallEnd::Ok, CallEnd::TimedOut, CallEnd::PushedBack][n % 4]),
+            10 => {
+                let count = self.asks.len().max(1);
+                if let Some(place) = self.asks.keys().nth(n % count).copied().filter(|_| n % 3 == 0) {
+                    self.gone(place);
+                }
+            }
+            11 if n % 4 == 0 => {
+                let on: Vec<Place> = self.asks.keys().filter(|p| p.conn.0 == n as u64 % 3).copied().collect();
+                for place in on {
+                    if let Some((_, gone)) = self.asks.get_mut(&place) {
+                        *gone |= !self.out.answers.contains_key(&place);
+                    }
+                }
+                self.core.conn_ended(self.now, ConnId(n as u64 % 3), &mut self.out);
+            }
+            12 if n % 3 == 0 => self.out.deaf = true,
+            12 => self.link_up(),
+            13 if n % 8 == 0 => {
+                let link = LinkId(n / 8 % 2);
+                self.out.called.retain(|_, on| *on != link);
+                self.core.link_ended(self.now, link, n % 16 == 0, &mut self.out);
+                self.out.refuses = n % 3 == 0;
+            }
+            14 if n % 50 == 0 && self.killed.is_none() => {
+                self.killed = Some(self.now + 1_500 * MS);
+                self.core.drain(self.now, 1_500 * MS, &mut self.out);
+            }
+            _ => self.pass((n as Us % 30) * MS),
+        }
+        self.end_waiting();
+        self.check();
+    }
+
+    fn check(&self) {
+        assert_eq!(self.out.faults, Vec::<String>::new());
+        for (place, (ask, gone)) in &self.asks {
+            let answer = self.out.answers.get(place);
+            assert!(answer.is_some() || *gone || self.now <= ask.due + SLACK, "lost {ask:?}");
+            if let Some(("ok", body)) = answer {
+                // A read that repeats another may carry what the other's run made.
+                let made =
+                    |id: RpcId| Out::result(id) == *body && self.out.runs.get(&id).is_some_and(|r| r.over);
+                let same =
+                    |other: &Ask| other.key.is_some() && (&other.method, other.key) == (&ask.method, ask.key);
+                let joined = self.asks.values().any(|(other, _)| same(other) && made(other.id));
+                assert!(made(ask.id) || joined, "ok without its result {ask:?}");
+            }
+        }
+    }
+
+    /// Everything comes to its end: all is answered and nothing is left in the tables.
+    fn settle(&mut self) {
+        self.link_up();
+        for _ in 0..400 {
+            self.pass(5 * MS);
+            self.play(1, false);
+            self.end_waiting();
+            self.read_notices(usize::MAX);
+            self.check();
+        }
+        assert_eq!((self.core.owed(), self.core.open()), (0, 0));
+    }
+}
+
+fn none() -> RpcId {
+    RpcId::new("").unwrap()
+}
+
+#[test]
+fn whatever_the_order_each_rpc_gets_one_answer_and_nothing_runs_twice() {
+    fn holds(seed: u64, steps: Vec<(u8, u16)>) -> bool {
+        let mut world = World::new(seed);
+        for (what, n) in steps {
+            world.step(what, n as usize);
+        }
+        world.settle();
+        true
+    }
+    let mut runs = QuickCheck::new().tests(120).rng(Gen::from_size_and_seed(300, 11));
+    runs.quickcheck(holds as fn(u64, Vec<(u8, u16)>) -> bool);
+}
+
+#[test]
+fn a_command_lost_with_the_link_is_sent_again_and_one_that_arrived_is_not() {
+    let mut w = World::new(1);
+    let (lost, kept) = {
+        let kept = w.ask(1, "book", 900 * MS, None);
+        w.out.deaf = true;
+        (w.ask(1, "look", 900 * MS, None), kept)
+    };
+    assert_eq!(w.out.runs.len(), 1);
+    w.link_up();
+    assert_eq!(w.out.runs.len(), 2);
+    w.play(0, true);
+    w.read_notices(1);
+    assert_eq!(w.out.called.len(), 1);
+    w.out.deaf = true;
+    w.reply(0, CallEnd::Ok); // its delivery is lost
+    w.link_up(); // sent again, and so it goes on
+    for _ in 0..2 {
+        w.play(1, false);
+        w.read_notices(1);
+    }
+    w.check();
+    assert_eq!((w.out.answers[&kept].0, w.out.answers[&lost].0), ("ok", "ok"));
+}
+
+#[test]
+fn a_notice_read_before_the_link_broke_changes_nothing_when_it_comes_again() {
+    let mut w = World::new(2);
+    let place = w.ask(1, "look", 900 * MS, None);
+    w.play(1, false);
+    w.read_notices(1);
+    assert_eq!(w.out.answers[&place].0, "ok");
+    w.read = 0;
+    w.read_notices(1);
+    w.check();
+    assert_eq!(w.core.counters.stale, 1);
+}
+
+#[test]
+fn reads_of_one_key_share_a_run_and_each_gets_its_own_answer() {
+    let mut w = World::new(3);
+    let places = [0, 1, 2].map(|conn| w.ask(conn, "look", 900 * MS, Some(9)));
+    assert_eq!(w.out.runs.len(), 1);
+    w.play(1, false);
+    w.read_notices(1);
+    let late = w.ask(1, "look", 900 * MS, Some(9)); // within the time that a result stays fresh
+    let ok: BTreeSet<_> = places.iter().chain([&late]).map(|p| w.out.answers[p].clone()).collect();
+    assert_eq!(ok.len(), 1);
+    assert_eq!(w.out.runs.len(), 1);
+    w.pass(200 * MS);
+    w.ask(1, "look", 900 * MS, Some(9)); // too late for it
+    assert_eq!(w.out.runs.len(), 2);
+}
+
+#[test]
+fn a_silent_agent_delays_no_wake_and_no_due_time() {
+    let mut w = World::new(4);
+    let place = w.ask(1, "book", 300 * MS, None);
+    w.out.deaf = true;
+    w.pass(310 * MS);
+    assert_eq!(w.out.answers[&place].0, "aborted");
+    assert!(w.core.counters.wakes_blind > 0);
+}
+
+#[test]
+fn a_call_without_a_reply_is_given_up_and_the_next_goes_by_another_link() {
+    let mut w = World::new(5);
+    let place = w.ask(1, "look", 900 * MS, None);
+    w.play(1, true);
+    w.read_notices(1);
+    let first = w.out.called.values().next().copied();
+    assert!(first.is_some());
+    w.reply(0, CallEnd::TimedOut);
+    let second = w.out.called.values().next().copied();
+    assert!(second.is_some() && second != first, "{first:?} {second:?}");
+    let id = w.asks[&place].0.id;
+    let late = first.unwrap();
+    w.core.call_ended(w.now, late, id, CallEnd::Ok, b"of the call given up", &mut w.out);
+    assert_eq!(w.core.counters.late_replies, 1);
+    w.pass(900 * MS); // no reply ever comes: it is given up, and the run goes on without
+    assert!(w.out.called.is_empty());
+    w.check();
+}
+
+#[test]
+fn thorough_checks_share_one_exercise_and_are_answered_in_bounded_time() {
+    let mut w = World::new(6);
+    let place = |n| Place { conn: ConnId(9), stream: StreamId(n) };
+    w.core.check(w.now, place(1), false, &mut w.out);
+    assert_eq!(w.out.health, [(place(1), true)]);
+    for n in 2..5 {
+        w.core.check(w.now, place(n), true, &mut w.out);
+    }
+    assert_eq!((w.out.exercises.len(), w.out.health.len()), (1, 1));
+    let tag = w.out.exercises[0];
+    w.core.exercised(w.now, tag, true, &mut w.out);
+    assert!(w.out.health.len() == 4 && w.out.health.iter().all(|(_, good)| *good));
+    w.core.check(w.now, place(5), true, &mut w.out);
+    w.pass(300 * MS); // the agent says nothing
+    assert_eq!(w.out.health.last(), Some(&(place(5), false)));
+    w.core.exercised(w.now, tag, true, &mut w.out); // late, and of the one before
+    assert_eq!(w.out.health.len(), 5);
+}
+
+#[test]
+fn the_33rd_open_stream_breaks_the_protocol_and_the_rest_is_still_answered() {
+    let mut w = World::new(7);
+    for _ in 0..200 {
+        w.ask(1, "look", 900 * MS, None);
+    }
+    assert!(w.core.owed_on(ConnId(1)) <= 32);
+    w.settle();
+}
+
+#[test]
+fn an_unknown_method_or_an_id_in_use_is_aborted_on_its_own_stream() {
+    let mut w = World::new(8);
+    let first = w.ask(1, "look", 900 * MS, None);
+    let odd = w.ask(1, "riddle", 900 * MS, None);
+    assert_eq!(w.out.answers[&odd].0, "aborted");
+    let place = Place { conn: ConnId(2), stream: StreamId(1) };
+    let again = w.asks[&first].0.clone();
+    assert!(w.core.rpc_read(w.now, place, again, b"x", &mut w.out));
+    assert_eq!(w.out.answers[&place].0, "aborted");
+    assert!(!w.out.answers.contains_key(&first));
+}
+
+#[test]
+fn leaving_is_told_at_once_all_is_answered_and_then_it_has_left() {
+    let mut w = World::new(9);
+    let place = w.ask(1, "look", 5_000 * MS, None);
+    w.core.drain(w.now, 1_000 * MS, &mut w.out);
+    w.core.drain(w.now, 9_000 * MS, &mut w.out); // a second notice changes nothing
+    assert!(w.out.left && w.out.serving.last() == Some(&false) && !w.core.left());
+    w.pass(999 * MS);
+    assert_eq!(w.out.answers[&place].0, "aborted");
+    assert!(w.core.left());
+}
--- a/net/src/clock.rs
+++ b/net/src/clock.rs
@@ -1,7 +1,12 @@
 //! The system's Unix clock, and waiting by it.
+//!
+//! The timers of `may` are not used: its `park_timeout` keeps whole milliseconds only, so that a wait of less
+//! than one never ends, and it wakes sleepers on a thread of its own beside the worker. Here one plain thread
+//! knows when whom to wake, to the microsecond, and all that is woken runs on the worker.
 
 use may::coroutine::{self, Coroutine};
-use std::sync::Mutex;
+use std::collections::BTreeMap;
+use std::sync::{Condvar, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Microseconds since 1970.
@@ -9,6 +14,61 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64)
 }
 
+const LONGEST: u64 = 500_000; // between looks at the clock, which may be set
+
+/// Who waits until when, and a number to tell those of one moment apart.
+struct Waiting {
+    until: BTreeMap<(u64, u64), Coroutine>,
+    next: u64,
+}
+
+struct Alarms {
+    waiting: Mutex<Waiting>,
+    earlier: Condvar,
+}
+
+static ALARMS: Alarms =
+    Alarms { waiting: Mutex::new(Waiting { until: BTreeMap::new(), next: 0 }), earlier: Condvar::new() };
+
+impl Alarms {
+    fn waiting(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+/// Wakes whoever is due; the work of the one thread for that.
+pub(crate) fn alarms() {
+    let mut waiting = ALARMS.waiting();
+    loop {
+        let now = now();
+        while let Some(entry) = waiting.until.first_entry().filter(|entry| entry.key().0 <= now) {
+            entry.remove().unpark();
+        }
+        let wait = waiting.until.first_key_value().map_or(LONGEST, |((at, _), _)| (at - now).min(LONGEST));
+        let woken = ALARMS.earlier.wait_timeout(waiting, Duration::from_micros(wait));
+        waiting = woken.unwrap_or_else(|e| e.into_inner()).0;
+    }
+}
+
+/// Waits until `at`, or until the bell that this coroutine attends is rung. Others get their turn in any case.
+pub fn wait_until(at: u64) {
+    if at <= now() {
+        return coroutine::yield_now();
+    }
+    let key = {
+        let mut waiting = ALARMS.waiting();
+        let key = (at, waiting.next);
+        waiting.next += 1;
+        waiting.until.insert(key, coroutine::current());
+        if waiting.until.first_key_value().is_some_and(|(first, _)| *first == key) {
+            ALARMS.earlier.notify_one();
+        }
+        key
+    };
+    coroutine::park();
+    ALARMS.waiting().until.remove(&key);
+}
+
 /// Rings for the one coroutine that waits at it.
 #[derive(Default)]
 pub struct Bell(Mutex<Option<Coroutine>>);
@@ -25,12 +85,38 @@
     }
 }
 
-/// Waits until `at`, or until the bell that this coroutine attends is rung. Comes back on the worker: `may`
-/// itself lets go of sleepers on its timer thread.
-pub fn wait_until(at: u64) {
-    let span = at.saturating_sub(now());
-    if span > 0 {
-        coroutine::park_timeout(Duration::from_micros(span));
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against waits that never end, as those of under a millisecond did with the timers of `may`.
+    #[test]
+    fn short_waits_end_each_in_its_time_and_a_bell_ends_a_long_one() {
+        crate::one_worker().unwrap();
+        let (told, heard) = std::sync::mpsc::channel();
+        let bell = std::sync::Arc::new(Bell::default());
+        let (waits, rung) = (told.clone(), bell.clone());
+        crate::spawn("waits", move || {
+            for span in (50..3_000).step_by(50) {
+                let at = now() + span;
+                wait_until(at);
+                waits.send((now() >= at, span)).unwrap();
+            }
+        })
+        .unwrap();
+        for _ in (50..3_000).step_by(50) {
+            let (in_time, span) = heard.recv_timeout(Duration::from_secs(10)).unwrap();
+            assert!(in_time, "woken before its {span} us were over");
+        }
+        crate::spawn("rung", move || {
+            rung.attend();
+            told.send((true, 0)).unwrap();
+            wait_until(now() + 3_600_000_000);
+            told.send((true, 1)).unwrap();
+        })
+        .unwrap();
+        assert_eq!(heard.recv_timeout(Duration::from_secs(10)), Ok((true, 0)));
+        bell.ring();
+        assert_eq!(heard.recv_timeout(Duration::from_secs(10)), Ok((true, 1)));
     }
-    coroutine::yield_now();
 }
--- a/net/src/link.rs
+++ b/net/src/link.rs
@@ -1,8 +1,8 @@
 //! Connections of our own that are made anew when they end.
 
 use crate::outbox::Waker;
-use crate::{drive, End, Outbox, Peer, Pool};
-use may::coroutine::{self, yield_now};
+use crate::{drive, now, wait_until, End, Outbox, Peer, Pool};
+use may::coroutine;
 use may::net::TcpStream;
 use nanorand::{Rng, WyRand};
 use std::net::SocketAddr;
@@ -34,8 +34,10 @@
     }
     pub fn rest(&mut self) {
         let jitter = 0.5 + self.chance.generate::<f64>();
-        coroutine::sleep(self.next.mul_f64(jitter));
-        yield_now();
+        let until = now() + self.next.mul_f64(jitter).as_micros() as u64;
+        while now() < until {
+            wait_until(until);
+        }
         self.next = (self.next * 2).min(self.most);
     }
 }
--- a/net/src/listener.rs
+++ b/net/src/listener.rs
@@ -1,15 +1,14 @@
 //! Taking in connections, no more than there is room for.
 
-use may::coroutine::{sleep, yield_now};
+use crate::{now, wait_until};
 use may::net::{TcpListener, TcpStream};
 use may::sync::Semphore;
 use slog::{warn, Logger};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-const PAUSE: Duration = Duration::from_millis(50); // after a failed accept: descriptors come back by then
+const PAUSE: u64 = 50_000; // after a failed accept: descriptors come back by then
 
 /// Room for so many connections. Each holds its place until it is dropped.
 #[derive(Clone)]
@@ -49,8 +48,7 @@
             Ok((stream, _)) => took(stream, place),
             Err(e) => {
                 warn!(log, "a connection could not be taken in"; "error" => %e);
-                sleep(PAUSE);
-                yield_now();
+                wait_until(now() + PAUSE);
             }
         }
     }
--- a/net/src/spawn.rs
+++ b/net/src/spawn.rs
@@ -8,11 +8,17 @@
 /// touched take no memory.
 const STACK: usize = 0x4000;
 
-/// One worker for one core, on whichever core the system likes. Called once, before the first coroutine.
-pub fn one_worker() {
+/// One worker for one core, on whichever core the system likes, and the thread that wakes those that wait.
+/// Called once, before the first coroutine.
+pub fn one_worker() -> io::Result<()> {
     may::config().set_workers(1).set_stack_size(STACK).set_pool_capacity(64);
     may::config().set_worker_pin(false);
     may::config().set_timeout_ns(500_000_000); // wakes of an idle worker; events and timers come at once
+    std::thread::Builder::new()
+        .name("alarms".into())
+        .stack_size(1 << 16)
+        .spawn(crate::clock::alarms)
+        .map(drop)
 }
 
 /// Starts a coroutine that nobody waits for.
--- a/protocol/src/frames.rs
+++ b/protocol/src/frames.rs
@@ -310,7 +310,7 @@
     }
     if let Final::PushedBack { terminal, come_back } = answer {
         if come_back > 0 {
-            fields.add("pause", &format!("{:.3}", come_back as f64 / 1000.0));
+            fields.add("pause", &come_back.div_ceil(1000).to_string());
         }
         if terminal {
             fields.add("terminal", "1");
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -7,6 +7,8 @@
 mod lines;
 pub mod naming;
 pub mod records;
+#[cfg(test)]
+mod tests;
 
 use std::fmt;
 
--- /dev/null
+++ b/protocol/src/tests.rs
@@ -0,0 +1,195 @@
+//! Every state machine fed its bytes split at every place, byte by byte, and garbage.
+
+use crate::frames::{self, Final, StreamId};
+use crate::{agent, naming, records, Broken, BODY};
+use asterrill::RpcId;
+use quickcheck::{Gen, QuickCheck};
+
+/// Feeds pieces to a fresh reader; what it hands back, in words, and how it ended.
+type Feed = fn(&[&[u8]]) -> (Vec<String>, Option<Broken>);
+
+macro_rules! feed {
+    ($reader:ty) => {
+        |pieces| {
+            let (mut reader, mut said) = (<$reader>::default(), Vec::new());
+            for piece in pieces {
+                let mut bytes = *piece;
+                loop {
+                    let before = bytes.len();
+                    match reader.next(&mut bytes) {
+                        Ok(Some(message)) => said.push(format!("{message:?}")),
+                        Ok(None) => break assert!(bytes.is_empty(), "bytes left behind"),
+                        Err(broken) => return (said, Some(broken)),
+                    }
+                    assert!(bytes.len() < before || before == 0, "a message out of nothing");
+                }
+            }
+            (said, None)
+        }
+    };
+}
+
+const MACHINES: [(&str, Feed); 4] = [
+    ("frames", feed!(frames::Reader)),
+    ("agent", feed!(agent::Reader)),
+    ("records", feed!(records::Reader)),
+    ("naming", feed!(naming::Reader)),
+];
+
+fn frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let length = (5 + payload.len()) as u32;
+    [&length.to_be_bytes()[..], &[kind], &stream.to_be_bytes(), payload].concat()
+}
+
+fn fields(fields: &[(&str, &str)]) -> Vec<u8> {
+    let mut to = vec![fields.len() as u8];
+    for (name, value) in fields {
+        to.push(name.len() as u8);
+        to.extend_from_slice(name.as_bytes());
+        to.extend_from_slice(&(value.len() as u16).to_be_bytes());
+        to.extend_from_slice(value.as_bytes());
+    }
+    to
+}
+
+const ASK: [(&str, &str); 8] = [
+    ("route", "look"),
+    ("trace", "00000000000000ab"),
+    ("born", "1000"),
+    ("client", "4"),
+    ("customer", "acme"),
+    ("patience", "480"),
+    ("size", "24.5"),
+    ("entity", "7f3a9c21e0b4d655"),
+];
+
+fn rpc(stream: u32, with: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    frame(1, stream, &[fields(with), body.to_vec()].concat())
+}
+
+/// One good conversation for each machine, and the number of messages in it.
+fn good() -> [(Vec<u8>, usize); 4] {
+    let long = "x".repeat(40_000);
+    let unknown = [&ASK[..], &[("doc", long.as_str()), ("", "")]].concat();
+    let frames = [
+        rpc(1, &ASK, b"any\r\n\0bytes"),
+        frame(3, 1, &[]),
+        rpc(2, &unknown, b""),
+        frame(4, 3, &fields(&[("thorough", "1")])),
+        rpc(7, &ASK[1..], b"no method"),
+    ];
+    let agent: &[u8] = b"greeting EMPTY 12\r\nrequest 1 ab 4\r\n\r\n\r\n\r\naside 2 hear hear 9\r\n\
+        outcome 3 ab PASS 12.5 3\r\n\0\r\n\r\noutcome 4 cd KILLED 1 0\r\n\r\nsampled 7 0.5 3 0 120\r\n\
+        exercised 8 FAIL\r\nrefusal launch ab\r\n";
+    let records: &[u8] = b"ab DONE 5\r\na\r\nbc\r\ncd WAIT\r\nef ERROR\r\nab PAST\r\ncd EMPTY\r\n";
+    let naming: &[u8] = b"HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\n\
+        Content-Length: 4\r\n\r\nlateHTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n";
+    [(frames.concat(), 5), (agent.to_vec(), 8), (records.to_vec(), 5), (naming.to_vec(), 3)]
+}
+
+#[test]
+fn messages_are_the_same_wherever_their_bytes_are_split() {
+    for ((name, feed), (bytes, count)) in MACHINES.iter().zip(good()) {
+        let whole = feed(&[&bytes]);
+        assert_eq!((whole.0.len(), &whole.1), (count, &None), "{name}");
+        for at in 0..bytes.len() {
+            assert_eq!(feed(&[&bytes[..at], &bytes[at..]]), whole, "{name} split at {at}");
+        }
+        let single: Vec<&[u8]> = bytes.chunks(1).collect();
+        assert_eq!(feed(&single), whole, "{name} byte by byte");
+    }
+}
+
+#[test]
+fn garbage_and_damage_never_panic_and_read_the_same_in_pieces() {
+    fn holds(damage: Vec<(u16, u8)>, noise: Vec<u8>, piece: u8) -> bool {
+        for ((name, feed), (mut bytes, _)) in MACHINES.iter().zip(good()) {
+            feed(&[&noise]);
+            for (at, with) in &damage {
+                let at = *at as usize % bytes.len();
+                bytes[at] = *with;
+            }
+            bytes.extend_from_slice(&noise);
+            let pieces: Vec<&[u8]> = bytes.chunks(piece as usize + 1).collect();
+            assert_eq!(feed(&[&bytes]), feed(&pieces), "{name}");
+        }
+        true
+    }
+    let mut runs = QuickCheck::new().tests(400).rng(Gen::from_size_and_seed(20, 3));
+    runs.quickcheck(holds as fn(Vec<(u16, u8)>, Vec<u8>, u8) -> bool);
+}
+
+#[test]
+fn what_breaks_the_framing_is_named_and_stays_broken() {
+    let (_, feed) = MACHINES[0];
+    let fault = |bytes: Vec<u8>| feed(&[&bytes]).1.map(|b| b.0).unwrap_or("none");
+    assert!(fault([&4u32.to_be_bytes()[..], &[1, 0, 0, 0, 1]].concat()).contains("length"));
+    assert!(fault([&262_145u32.to_be_bytes()[..], &[1, 0, 0, 0, 1]].concat()).contains("length"));
+    assert!(fault(frame(9, 1, &[0])).contains("type"));
+    assert!(fault(frame(1, 1, &[1, 200, b'x'])).contains("fields"));
+    assert!(fault([rpc(1, &ASK, b""), rpc(1, &ASK, b"")].concat()).contains("twice"));
+    assert_eq!(fault([rpc(2, &ASK, b""), rpc(1, &ASK, b""), rpc(3, &ASK, b"")].concat()), "none");
+    let mut reader = frames::Reader::default();
+    assert!(reader.next(&mut &frame(9, 1, &[])[..]).is_err());
+    assert!(reader.next(&mut &rpc(1, &ASK, b"")[..]).is_err());
+}
+
+#[test]
+fn odd_fields_and_long_bodies_leave_the_framing_whole() {
+    let (_, feed) = MACHINES[0];
+    for (at, value) in [
+        (1, "short"),
+        (1, "zz00000000000000"),
+        (2, "-5"),
+        (3, ""),
+        (5, "soon"),
+        (6, "0"),
+        (6, "NaN"),
+        (7, "g"),
+    ] {
+        let mut odd = ASK;
+        odd[at].1 = value;
+        let bytes = [rpc(1, &odd, b""), rpc(2, &ASK, b"")].concat();
+        let (said, broken) = feed(&[&bytes]);
+        assert!(
+            said.len() == 2 && said[0].contains("Odd") && said[1].contains("Rpc") && broken.is_none(),
+            "{said:?}"
+        );
+    }
+    let (said, _) = feed(&[&[rpc(1, &ASK, &[7; 2049]), rpc(2, &ASK, &[7; 2048])].concat()]);
+    assert!(said[0].contains("Odd") && said[1].contains("Rpc"));
+}
+
+#[test]
+fn lines_and_bodies_have_bounds() {
+    let (_, feed) = MACHINES[1];
+    assert!(feed(&[&[b'a'; 4000]]).1.is_some());
+    assert!(feed(&[format!("request 1 ab {}\r\n", BODY + 1).as_bytes()]).1.is_some());
+    assert!(feed(&[b"request 1 ab 1\r\nxyz"]).1.is_some());
+    assert!(feed(&[b"sampled 1 -2\r\n"]).1.is_some());
+    assert!(feed(&[b"greeting MAYBE 1\r\n"]).1.is_some());
+}
+
+#[test]
+fn what_is_written_can_be_read_by_the_page() {
+    let mut to = Vec::new();
+    frames::answer(&mut to, StreamId(9), Final::Ok(b"r\r\n"), Some(2.5));
+    let payload = [&[0][..], &fields(&[("advice", "2.5000")]), b"r\r\n"].concat();
+    assert_eq!(to, frame(2, 9, &payload));
+    to.clear();
+    frames::answer(&mut to, StreamId(9), Final::PushedBack { terminal: true, come_back: 1_500 }, None);
+    assert_eq!(to, frame(2, 9, &[&[11][..], &fields(&[("pause", "2"), ("terminal", "1")])].concat()));
+    to.clear();
+    frames::answer(&mut to, StreamId(9), Final::Aborted, None);
+    frames::health(&mut to, StreamId(1), false, None);
+    frames::leaving(&mut to);
+    assert_eq!(to, [frame(2, 9, &[5, 0]), frame(5, 1, &[1, 0]), frame(6, 0, &[])].concat());
+    let id = RpcId::new("00ab").unwrap();
+    to.clear();
+    agent::launch(&mut to, id, "look", 3);
+    agent::skip(&mut to, id, agent::NoticeId(4));
+    records::call(&mut to, id, 250_100, 9);
+    records::give_up(&mut to, id);
+    let lines = "launch 00ab look 3\r\nforgo 00ab 4\r\nOP 00ab 251 9\r\nUNOP 00ab\r\n";
+    assert_eq!(String::from_utf8_lossy(&to), lines);
+}
