A wait gives others their turn before it goes on: the worker could hang for good

Seen: one run in 30 of the tests of the drivers hung. A trace of the hung program: the worker in Park::drop of may 0.3.51, going round for a flag that is cleared only by its own caller. A coroutine that is unparked from another thread just as it is about to park is run on inside the scheduler's subscribe call; if it ends there, its drop waits for that call to return. Ruled out: the sockets and the links, which had nothing to do with it. Fault: net/src/clock.rs wait_until and net/src/link.rs hold.

Also: two pools, so that bodies held can't keep answers from being written; a slow peer is cut off before it takes the last quarter; buffers of 4.5 KiB; a body too long to be passed on is passed over instead of breaking the link, which would have brought the same notice again for ever.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -474,7 +474,9 @@
     }
 
     /// A run waits for a call with this body.
-    pub fn call_needed(&mut self, now: Us, number: NoticeId, id: RpcId, body: &[u8], wire: &mut dyn Wire) {
+    pub fn call_needed(
+        &mut self, now: Us, number: NoticeId, id: RpcId, body: Option<&[u8]>, wire: &mut dyn Wire,
+    ) {
         self.pass(now);
         if !self.fresh_notice(number) {
             return;
@@ -484,7 +486,7 @@
             return;
         };
         rpc.stage = Stage::AtCall(number);
-        rpc.body = self.pool.hold(body);
+        rpc.body = body.and_then(|body| self.pool.hold(body));
         let outcome = self.server.control.call_needed(self.now, id);
         self.carry(outcome, wire);
     }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -30,7 +30,7 @@
 const KEPT_BACK: u64 = 32; // descriptors for the agent, the layer below, the name service, logs and the system
 const LINE: usize = 192 * 1024; // bytes that may wait for a sidecar: more than all its answers at once
 const LINK: usize = 1024 * 1024; // bytes that may wait for the agent or the layer below
-const BUFFERS: u64 = 4; // share of the memory that buffers may take: one in so many
+const BUFFERS: u64 = 6; // of the memory, a share of one in so many each for sockets and for bodies held
 const SWEEP: Us = 100_000; // between looks at idle connections
 const REPORT: Us = 1_000_000; // between reports to the name service
 const WITHIN: Duration = Duration::from_millis(800); // a report that takes longer is lost
@@ -70,13 +70,15 @@
     let listener = asterrill_net::bind(to.listen).map_err(|e| Fault::new(format!("{}: {e}", to.listen)))?;
     let mut signals = Signals::new([SIGTERM, SIGUSR1])?;
     let mut chance = WyRand::new_seed(to.seed);
-    let pool = Pool::new((to.memory_mb * 1024 * 1024 / BUFFERS / SIZE as u64) as usize);
+    // Two pools, so that what is held can't keep what is owed from being written.
+    let [pool, held] =
+        [(); 2].map(|()| Pool::new((to.memory_mb * 1024 * 1024 / BUFFERS / SIZE as u64) as usize));
     let server = asterrill_settings::server(now(), to.seed, &to.server, None)?;
     let idle = asterrill_settings::maybe_time(&to.server["FamilyInfo"], "IdleMs")?;
     let agent_out = Outbox::new(&pool, LINK);
     let below: Vec<Outbox> =
         to.records.iter().flat_map(|_| (0..LINKS).map(|_| Outbox::new(&pool, LINK))).collect();
-    let core = Core::new(now(), server, pool.clone());
+    let core = Core::new(now(), server, held);
     let hub = Arc::new(Hub::new(core, agent_out.clone(), below.clone(), idle, pool.clone(), log.clone()));
     let notice = Arc::new(AtomicBool::new(false));
     info!(log, "started"; "name" => &to.name, "listen" => %to.listen);
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -254,7 +254,7 @@
                     self.core.run_ended(self.now, number, *id, *end, result, &mut self.out)
                 }
                 Told::CallNeeded(id, body) => {
-                    self.core.call_needed(self.now, number, *id, body, &mut self.out)
+                    self.core.call_needed(self.now, number, *id, Some(body), &mut self.out)
                 }
             }
             self.out.notices[number.0 as usize - 1] = told;
--- a/net/src/clock.rs
+++ b/net/src/clock.rs
@@ -50,6 +50,14 @@
     }
 }
 
+/// Waits until unparked. Then others get their turn first: a coroutine that is unparked from another thread while
+/// it is about to wait goes on within the scheduler's own call, and `may` 0.3.51 hangs its worker for good if it
+/// comes to its end there.
+pub(crate) fn park() {
+    coroutine::park();
+    coroutine::yield_now();
+}
+
 /// Waits until `at`, or until the bell that this coroutine attends is rung. Others get their turn in any case.
 pub fn wait_until(at: u64) {
     if at <= now() {
@@ -65,7 +73,7 @@
         }
         key
     };
-    coroutine::park();
+    park();
     ALARMS.waiting().until.remove(&key);
 }
 
--- a/net/src/link.rs
+++ b/net/src/link.rs
@@ -1,5 +1,6 @@
 //! Connections of our own that are made anew when they end.
 
+use crate::clock::park;
 use crate::outbox::Waker;
 use crate::{drive, now, wait_until, Outbox, Peer, Pool};
 use may::coroutine;
@@ -49,7 +50,7 @@
     loop {
         out.wakes(Some(Waker::Parked(coroutine::current())));
         while !eager && out.is_empty() {
-            coroutine::park();
+            park();
         }
         let start = now();
         match TcpStream::connect_timeout(&to, CONNECT) {
--- a/net/src/outbox.rs
+++ b/net/src/outbox.rs
@@ -7,6 +7,8 @@
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard};
 
+const FEW: usize = 4; // buffers that any connection may hold, however few are left
+
 /// How the owner of the socket is woken.
 pub(crate) enum Waker {
     Io(WaitIoWaker),
@@ -53,7 +55,10 @@
         let length: usize = pieces.iter().map(|p| p.len()).sum();
         let room = queue.chunks.back().map_or(0, |chunk| SIZE - chunk.len());
         let fresh = length.saturating_sub(room).div_ceil(SIZE);
-        let taken: Vec<Buf> = (0..fresh).map_while(|_| self.1.take()).collect();
+        // A slow peer is cut off before what it holds up leaves too little for the others.
+        let slow = queue.chunks.len() >= FEW;
+        let taken: Vec<Buf> =
+            (0..fresh).map_while(|_| if slow { self.1.take_spare() } else { self.1.take() }).collect();
         let fits = queue.waiting + length <= queue.most && taken.len() == fresh && queue.close == Close::No;
         if fits {
             queue.waiting += length;
--- a/net/src/pool.rs
+++ b/net/src/pool.rs
@@ -3,8 +3,8 @@
 use std::ops::{Deref, DerefMut};
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// Bytes in a buffer: the longest message that is taken in, with what goes round it.
-pub const SIZE: usize = 8192;
+/// Bytes in a buffer: the longest body that is taken in, with what goes round it.
+pub const SIZE: usize = 4608;
 const SPARE: usize = 64; // that stay for later; what a rush needed more goes back to the system
 
 struct Shelf {
@@ -36,6 +36,14 @@
         let bytes = shelf.free.pop().unwrap_or_else(|| Vec::with_capacity(SIZE));
         Some(Buf { bytes, pool: self.clone() })
     }
+    /// The same for those who hold many already: the last quarter is left to the others.
+    pub fn take_spare(&self) -> Option<Buf> {
+        let spare = {
+            let shelf = self.shelf();
+            shelf.out < shelf.most / 4 * 3
+        };
+        self.take().filter(|_| spare)
+    }
     /// A buffer that holds these bytes; none also where they are too many.
     pub fn hold(&self, bytes: &[u8]) -> Option<Buf> {
         let mut buf = self.take().filter(|_| bytes.len() <= SIZE)?;
--- a/net/src/tests.rs
+++ b/net/src/tests.rs
@@ -73,6 +73,14 @@
     }
 }
 
+#[test]
+fn a_slow_peer_leaves_buffers_to_the_others() {
+    let pool = Pool::new(16);
+    let [slow, other] = [(); 2].map(|()| Outbox::new(&pool, 100 * SIZE));
+    assert!((0..20).any(|_| !slow.put(&[&[0; SIZE]])));
+    assert!(other.put(&[b"an answer"]));
+}
+
 #[test]
 fn a_half_closed_connection_gets_what_it_is_owed() {
     let (at, heard) = echo(&Pool::new(64), 20 * SIZE, 3 * SIZE, 8);
@@ -159,6 +167,21 @@
     assert_eq!((&came, heard.recv_timeout(WAIT)), (b"again", Ok("up")));
 }
 
+#[test]
+fn coroutines_that_end_right_after_a_wait_leave_the_worker_free() {
+    worker();
+    let (told, heard) = channel();
+    for n in 0..5_000 {
+        let told = told.clone();
+        spawn("ends", move || {
+            wait_until(now() + n % 30);
+            told.send(()).unwrap();
+        })
+        .unwrap();
+    }
+    assert_eq!((0..5_000).filter(|_| heard.recv_timeout(WAIT).is_ok()).count(), 5_000);
+}
+
 #[test]
 fn short_waits_end_each_in_its_time_and_a_bell_ends_a_long_one() {
     // Waits of under a millisecond never ended with the timers of `may`.
--- a/protocol/src/agent.rs
+++ b/protocol/src/agent.rs
@@ -13,10 +13,10 @@
 pub enum Notice<'a> {
     /// The agent is up: whether it started without what makes it warm, and how long ago.
     Greeting { empty: bool, ago: Us },
-    /// A run is over; with the result where it is ok.
+    /// A run is over; with the result where it is ok. A result too long to be passed on is none.
     Ended(NoticeId, RpcId, RunEnd, &'a [u8]),
-    /// A run waits for a call with this body.
-    CallNeeded(NoticeId, RpcId, &'a [u8]),
+    /// A run waits for a call with this body; none where it is too long to be passed on.
+    CallNeeded(NoticeId, RpcId, Option<&'a [u8]>),
     /// The gauges in the order of the settings, as asked for under a number.
     Sampled(u64, Vec<f64>),
     /// Whether the work of a thorough health check got done.
@@ -52,11 +52,11 @@
     Ok(Some(length))
 }
 
-fn notice<'a>(line: &str, body: &'a [u8]) -> Result<Notice<'a>, Broken> {
+fn notice<'a>(line: &str, body: Option<&'a [u8]>) -> Result<Notice<'a>, Broken> {
     parse(line, body).ok_or(Broken("a notice of the agent is not understood"))
 }
 
-fn parse<'a>(line: &str, body: &'a [u8]) -> Option<Notice<'a>> {
+fn parse<'a>(line: &str, body: Option<&'a [u8]>) -> Option<Notice<'a>> {
     let mut words = line.split(' ');
     let kind = words.next()?;
     let mut word = || words.next().filter(|w| !w.is_empty());
@@ -72,13 +72,13 @@
         "outcome" => {
             let (number, id) = (NoticeId(word()?.parse().ok()?), RpcId::new(word()?)?);
             let end = match word()? {
-                "PASS" => RunEnd::Ok,
-                "FAIL" => RunEnd::Aborted,
+                "PASS" if body.is_some() => RunEnd::Ok,
+                "PASS" | "FAIL" => RunEnd::Aborted,
                 "KILLED" => RunEnd::Stopped,
                 "NOOP" => RunEnd::NotStarted,
                 _ => return None,
             };
-            Notice::Ended(number, id, end, body)
+            Notice::Ended(number, id, end, body.unwrap_or(&[]))
         }
         "request" => Notice::CallNeeded(NoticeId(word()?.parse().ok()?), RpcId::new(word()?)?, body),
         "sampled" => {
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -22,5 +22,5 @@
     }
 }
 
-/// The longest body of any kind that is taken in.
+/// The longest body of any kind that is taken in; longer ones are passed over.
 pub const BODY: usize = 4096;
--- a/protocol/src/lines.rs
+++ b/protocol/src/lines.rs
@@ -3,6 +3,10 @@
 use crate::{Broken, BODY};
 
 const LINE: usize = 512;
+const LONGEST: usize = 1 << 24; // a length beyond it is nonsense
+
+/// A line, and its body unless that is too long.
+pub(crate) type Line<'a> = (&'a str, Option<&'a [u8]>);
 
 /// Collects a line, then its body. What is handed back lives until the next call.
 #[derive(Default)]
@@ -10,18 +14,20 @@
     line: Vec<u8>,
     body: Vec<u8>,
     left: Option<usize>, // bytes of body and CR LF still to come
+    long: bool,          // the body is passed over
     whole: bool,         // the last call handed something back
 }
 
 impl Lines {
     /// Takes from `input` up to the end of the next line and its body. `length` tells from a line how long
-    /// its body is, if it has one.
+    /// its body is, if it has one; one that is too long is handed back as none.
     pub(crate) fn next(
         &mut self, input: &mut &[u8], length: fn(&str) -> Result<Option<usize>, Broken>,
-    ) -> Result<Option<(&str, &[u8])>, Broken> {
+    ) -> Result<Option<Line<'_>>, Broken> {
         if std::mem::take(&mut self.whole) {
             self.line.clear();
             self.body.clear();
+            self.long = false;
         }
         if self.left.is_none() {
             let end = input.iter().position(|b| *b == b'\n').map_or(input.len(), |at| at + 1);
@@ -40,13 +46,20 @@
             self.line.truncate(self.line.len() - 2);
             match length(text(&self.line)?)? {
                 None => self.whole = true,
-                Some(n) if n > BODY => return Err(Broken("a body is too long")),
-                Some(n) => self.left = Some(n + 2),
+                Some(n) if n > LONGEST => return Err(Broken("a body is too long")),
+                Some(n) => (self.left, self.long) = (Some(n + 2), n > BODY),
             }
         }
         if let Some(left) = self.left {
             let (now, later) = input.split_at(left.min(input.len()));
-            self.body.extend_from_slice(now);
+            // Of a body that is too long only its last two bytes are looked at.
+            if self.long {
+                let kept = self.body.len().min(1);
+                self.body.drain(..self.body.len() - kept);
+                self.body.extend_from_slice(&now[now.len().saturating_sub(2)..]);
+            } else {
+                self.body.extend_from_slice(now);
+            }
             *input = later;
             if now.len() < left {
                 self.left = Some(left - now.len());
@@ -58,7 +71,8 @@
             self.body.truncate(self.body.len() - 2);
             (self.left, self.whole) = (None, true);
         }
-        Ok(Some((text(&self.line)?, &self.body)))
+        let body = if self.long { None } else { Some(&self.body[..]) };
+        Ok(Some((text(&self.line)?, body)))
     }
 }
 
--- a/protocol/src/records.rs
+++ b/protocol/src/records.rs
@@ -24,14 +24,15 @@
         let mut words = line.split(' ');
         let id = words.next().filter(|id| !id.is_empty()).and_then(RpcId::new);
         let end = match words.next() {
-            Some("DONE") => Some(CallEnd::Ok),
+            Some("DONE") if body.is_some() => Some(CallEnd::Ok),
             Some("WAIT" | "EMPTY") => Some(CallEnd::PushedBack),
-            Some("ERROR") => Some(CallEnd::Aborted),
+            // A reply too long to be passed on is of no use, but the call has run.
+            Some("ERROR" | "DONE") => Some(CallEnd::Aborted),
             Some("PAST") => Some(CallEnd::TimedOut),
             _ => None,
         };
         match (id, end) {
-            (Some(id), Some(end)) => Ok(Some(Reply { id, end, body })),
+            (Some(id), Some(end)) => Ok(Some(Reply { id, end, body: body.unwrap_or(&[]) })),
             _ => Err(Broken("a reply from below is not understood")),
         }
     }
