--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -27,7 +27,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-const KEPT_BACK: u64 = 32; // descriptors for the agent, the layer below, the name service, logs and the system
+const KEPT_BACK: u64 = 18; // descriptors: 14 are in use without a sidecar, the agent and the layer below included
 const LINE: usize = 192 * 1024; // bytes that may wait for a sidecar: more than all its answers at once
 const LINK: usize = 1024 * 1024; // bytes that may wait for the agent or the layer below
 const BUFFERS: u64 = 6; // of the memory, a share of one in so many each for sockets and for bodies held
--- a/net/src/listener.rs
+++ b/net/src/listener.rs
@@ -1,30 +1,36 @@
 //! Taking in connections, no more than there is room for.
 
-use crate::{now, wait_until};
+use crate::{now, wait_until, Bell};
 use may::net::{TcpListener, TcpStream};
-use may::sync::Semphore;
 use slog::{warn, Logger};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-const PAUSE: u64 = 50_000; // after a failed accept: descriptors come back by then
+const PAUSE: u64 = 50_000; // after a failed accept, and between looks for an idle connection at the cap
 
 /// Room for so many connections. Each holds its place until it is dropped.
 #[derive(Clone)]
-pub struct Room(Arc<Semphore>);
+pub struct Room(Arc<(AtomicUsize, Bell)>);
 
-pub struct Place(Arc<Semphore>);
+pub struct Place(Room);
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.post();
+        let (free, bell) = &*self.0 .0;
+        free.fetch_add(1, Ordering::AcqRel);
+        bell.ring();
     }
 }
 
 impl Room {
     pub fn new(most: usize) -> Room {
-        Room(Arc::new(Semphore::new(most)))
+        Room(Arc::new((AtomicUsize::new(most), Bell::default())))
+    }
+    fn take(&self) -> Option<Place> {
+        let one = self.0 .0.fetch_update(Ordering::AcqRel, Ordering::Acquire, |free| free.checked_sub(1));
+        one.ok().map(|_| Place(self.clone()))
     }
 }
 
@@ -33,23 +39,30 @@
     TcpListener::bind(at)
 }
 
-/// Hands on each connection with its place. At the cap `crowded` may let an idle one go; the next waits in
-/// the system's queue meanwhile.
+/// Hands on each connection with its place. At the cap one connection waits here and the others in the system's
+/// queue; `crowded` may let an idle one go, again and again until there is room.
 pub fn listen(
     listener: TcpListener, room: Room, log: Logger, crowded: impl Fn(), took: impl Fn(TcpStream, Place),
 ) {
+    room.0 .1.attend();
     loop {
-        if !room.0.try_wait() {
-            crowded();
-            room.0.wait();
-        }
-        let place = Place(room.0.clone());
-        match listener.accept() {
-            Ok((stream, _)) => took(stream, place),
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
             Err(e) => {
                 warn!(log, "a connection could not be taken in"; "error" => %e);
                 wait_until(now() + PAUSE);
+                continue;
+            }
+        };
+        let place = loop {
+            match room.take() {
+                Some(place) => break place,
+                None => {
+                    crowded();
+                    wait_until(now() + PAUSE);
+                }
             }
-        }
+        };
+        took(stream, place);
     }
 }
