--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -11,17 +11,15 @@
 use crate::config::Deployment;
 use crate::core::{ConnId, Core, LinkId, LINKS};
 use crate::hub::Hub;
-use crate::parties::{Agent, Below, Sidecar};
+use crate::parties::{report, Agent, Below, Sidecar};
 use asterrill::Us;
-use asterrill_net::{
-    drive, exchange, hold, listen, now, spawn, wait_until, End, Outbox, Pause, Pool, Room, SIZE,
-};
-use asterrill_protocol::{agent, frames, naming, records};
+use asterrill_net::{drive, hold, listen, now, spawn, wait_until, End, Outbox, Pause, Pool, Room, SIZE};
+use asterrill_protocol::{agent, frames, records};
 use asterrill_settings::Fault;
 use nanorand::{Rng, WyRand};
 use signal_hook::consts::{SIGTERM, SIGUSR1};
 use signal_hook::iterator::{Handle, Signals};
-use slog::{info, o, warn, Drain, Logger};
+use slog::{info, o, Drain, Logger};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -32,8 +30,7 @@
 const LINK: usize = 1024 * 1024; // bytes that may wait for the agent or the layer below
 const BUFFERS: u64 = 6; // of the memory, a share of one in so many each for sockets and for bodies held
 const SWEEP: Us = 100_000; // between looks at idle connections
-const REPORT: Us = 1_000_000; // between reports to the name service
-const WITHIN: Duration = Duration::from_millis(800); // a report that takes longer is lost
+const LOOK: Us = 10_000_000; // the clock goes round at least this often
 const LATE: Us = 20_000; // a clock this late tells of a pause: what has arrived meanwhile is read first
 const SETTLE: Us = 5_000; // time for that
 
@@ -167,7 +164,7 @@
     hub.with(|core, wire, now| core.start(now, wire));
     loop {
         let at = hub.arm(Us::MAX);
-        wait_until(at.min(now() + 10 * REPORT));
+        wait_until(at.min(now() + LOOK));
         if notice.swap(false, Ordering::AcqRel) {
             hub.with(|core, wire, now| core.drain(now, stop, wire));
         }
@@ -189,43 +186,3 @@
         }
     }
 }
-
-/// Tells the name service whether this backend takes work, at once when that changes.
-fn report(hub: &Hub, name: &str, at: std::net::SocketAddr, mut pause: Pause) {
-    hub.naming.attend();
-    let (host, mut kept) = (at.to_string(), None);
-    loop {
-        let Some(serving) = hub.serving() else {
-            wait_until(now() + REPORT);
-            continue;
-        };
-        let (mut request, mut reader, mut counts) = (Vec::new(), naming::Reader::default(), false);
-        naming::report(&mut request, name, &host, serving);
-        let fresh = kept.is_none();
-        let done = exchange(kept.take(), at, &request, WITHIN, |mut bytes| match reader.next(&mut bytes) {
-            Ok(None) => None,
-            Ok(Some(reply)) => {
-                counts = reply.counts;
-                Some(reply.stays)
-            }
-            Err(broken) => {
-                warn!(hub.log, "a report was lost"; "why" => broken.0);
-                hub.with(|core, _, _| core.counters.bad_naming += 1);
-                Some(false)
-            }
-        });
-        hub.with(|core, _, _| {
-            core.counters.reports += u64::from(counts);
-            core.counters.reports_lost += u64::from(!counts);
-        });
-        kept = done.flatten();
-        if counts {
-            pause.reset();
-            if hub.serving() == Some(serving) {
-                wait_until(now() + REPORT);
-            }
-        } else if fresh {
-            pause.rest();
-        }
-    }
-}
--- a/daemon/src/parties.rs
+++ b/daemon/src/parties.rs
@@ -4,12 +4,17 @@
 use crate::core::{ConnId, LinkId, Place};
 use crate::hub::Hub;
 use asterrill::Us;
-use asterrill_net::{now, Outbox, Party, Peer};
+use asterrill_net::{exchange, now, wait_until, Outbox, Party, Pause, Peer};
 use asterrill_protocol::agent::{self, Notice};
-use asterrill_protocol::{frames, records, Broken};
+use asterrill_protocol::{frames, naming, records, Broken};
 use asterrill_settings::Server;
 use slog::warn;
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
+
+const REPORT: Us = 1_000_000; // between reports to the name service
+const WITHIN: Duration = Duration::from_millis(800); // a report that takes longer is lost
 
 /// A sidecar.
 pub struct Sidecar {
@@ -163,3 +168,43 @@
         self.hub.with(|core, wire, _| core.link_ended(now(), link, refused, wire));
     }
 }
+
+/// Tells the name service whether this backend takes work, at once when that changes.
+pub fn report(hub: &Hub, name: &str, at: SocketAddr, mut pause: Pause) {
+    hub.naming.attend();
+    let (host, mut kept) = (at.to_string(), None);
+    loop {
+        let Some(serving) = hub.serving() else {
+            wait_until(now() + REPORT);
+            continue;
+        };
+        let (mut request, mut reader, mut counts) = (Vec::new(), naming::Reader::default(), false);
+        naming::report(&mut request, name, &host, serving);
+        let fresh = kept.is_none();
+        let done = exchange(kept.take(), at, &request, WITHIN, |mut bytes| match reader.next(&mut bytes) {
+            Ok(None) => None,
+            Ok(Some(reply)) => {
+                counts = reply.counts;
+                Some(reply.stays)
+            }
+            Err(broken) => {
+                warn!(hub.log, "a report was lost"; "why" => broken.0);
+                hub.with(|core, _, _| core.counters.bad_naming += 1);
+                Some(false)
+            }
+        });
+        hub.with(|core, _, _| {
+            core.counters.reports += u64::from(counts);
+            core.counters.reports_lost += u64::from(!counts);
+        });
+        kept = done.flatten();
+        if counts {
+            pause.reset();
+            if hub.serving() == Some(serving) {
+                wait_until(now() + REPORT);
+            }
+        } else if fresh {
+            pause.rest();
+        }
+    }
+}
--- a/daemon/tests/program.rs
+++ b/daemon/tests/program.rs
@@ -72,9 +72,20 @@
     Some((words, body))
 }
 
+/// Takes one connection, and answers what comes first on it with nonsense.
+fn spoil(at: &TcpListener, with: &[u8]) {
+    let mut stream = at.accept().unwrap().0;
+    assert!(stream.read(&mut [0; 1024]).unwrap() > 0);
+    stream.write_all(with).unwrap();
+    stream.read(&mut [0; 1024]).unwrap_or_default(); // until it is closed
+}
+
 /// An agent whose first link breaks in the middle of a run. Each run makes one call; its result is the reply.
-fn agent(at: TcpListener) {
+fn agent(at: TcpListener, nonsense: bool) {
     let (mut notices, mut greeted): (Vec<Vec<u8>>, bool) = (Vec::new(), false);
+    if nonsense {
+        spoil(&at, b"greeting PERHAPS\r\n");
+    }
     for stream in at.incoming() {
         let mut to = stream.unwrap();
         let mut from = BufReader::new(to.try_clone().unwrap());
@@ -108,7 +119,10 @@
 }
 
 /// A layer below that answers each call with its body, turned round.
-fn below(at: TcpListener) {
+fn below(at: TcpListener, nonsense: bool) {
+    if nonsense {
+        spoil(&at, b"what?\r\n");
+    }
     for stream in at.incoming() {
         let mut to = stream.unwrap();
         let mut from = BufReader::new(to.try_clone().unwrap());
@@ -124,7 +138,10 @@
     }
 }
 
-fn naming(at: TcpListener, told: Sender<String>) {
+fn naming(at: TcpListener, told: Sender<String>, nonsense: bool) {
+    if nonsense {
+        spoil(&at, b"HTTP/9 who?\r\n\r\n");
+    }
     for stream in at.incoming() {
         let mut to = stream.unwrap();
         let mut from = BufReader::new(to.try_clone().unwrap());
@@ -193,21 +210,21 @@
     }
 }
 
-fn stand_ins() -> (SocketAddr, Value, Receiver<String>) {
+fn stand_ins(nonsense: bool) -> (SocketAddr, Value, Receiver<String>) {
     let [a, r, n] = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
     let at = |l: &TcpListener| l.local_addr().unwrap();
     let listen = free();
     let config = told(listen, at(&a), at(&r), at(&n));
     let (told, reports) = channel();
-    thread::spawn(move || agent(a));
-    thread::spawn(move || below(r));
-    thread::spawn(move || naming(n, told));
+    thread::spawn(move || agent(a, nonsense));
+    thread::spawn(move || below(r, nonsense));
+    thread::spawn(move || naming(n, told, nonsense));
     (listen, config, reports)
 }
 
 #[test]
 fn it_serves_from_start_to_drain_and_outlives_bad_peers() {
-    let (listen, config, reports) = stand_ins();
+    let (listen, config, reports) = stand_ins(false);
     let child = start("serves", &config.to_string());
     let mut checks = connect(listen);
     checks.write_all(&frame(4, 1, &[("thorough", "1")], &[])).unwrap();
@@ -257,9 +274,26 @@
     assert!(text(&output).contains("rpcs=8 ") && text(&output).contains(" ok=8 "), "{}", text(&output));
 }
 
+#[test]
+fn nonsense_from_every_side_is_counted_and_outlived() {
+    let (listen, config, reports) = stand_ins(true);
+    let child = start("nonsense", &config.to_string());
+    assert!(reports.recv_timeout(WAIT).unwrap().contains("yes"));
+    let mut sidecar = connect(listen);
+    sidecar.write_all(&ask(1, "00000000000000d1", b"body")).unwrap();
+    let (kind, stream, payload) = next(&mut sidecar).unwrap();
+    assert!((kind, stream, payload[0]) == (2, 1, 0) && payload.ends_with(b"ydob"), "{payload:?}");
+    signal(&child, "TERM");
+    let output = ended(child);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    for counted in ["bad_agent=1 ", "bad_below=1 ", "bad_naming=1 ", "reports_lost=1 ", " ok=1 "] {
+        assert!(text(&output).contains(counted), "{counted} {}", text(&output));
+    }
+}
+
 #[test]
 fn what_it_was_told_wrongly_is_named_before_it_listens() {
-    let (listen, config, _) = stand_ins();
+    let (listen, config, _) = stand_ins(false);
     let fails = |name: &str, told: &str| {
         let output = ended(start(name, told));
         assert_eq!(output.status.code(), Some(1));
