A link below that was let go when idle can be used again

Fault: Outbox::finish and clear in net/src/outbox.rs, which closed what was not open and kept the time of last use. The new test of a link let go three times failed on its second call before.

Settings without a time for idle connections no longer let every connection go at once.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -71,7 +71,9 @@
     let [pool, held] =
         [(); 2].map(|()| Pool::new((to.memory_mb * 1024 * 1024 / BUFFERS / SIZE as u64) as usize));
     let server = asterrill_settings::server(now(), to.seed, &to.server, None)?;
+    // Where callers close idle connections by themselves; not told, none is idle too long.
     let idle = asterrill_settings::maybe_time(&to.server["FamilyInfo"], "IdleMs")?;
+    let idle = if idle > 0 { idle } else { Us::MAX };
     let agent_out = Outbox::new(&pool, LINK);
     let below: Vec<Outbox> =
         to.records.iter().flat_map(|_| (0..LINKS).map(|_| Outbox::new(&pool, LINK))).collect();
--- a/net/src/outbox.rs
+++ b/net/src/outbox.rs
@@ -81,24 +81,27 @@
         fits
     }
 
-    /// Closes the connection once all that waits is written; nothing more is put in.
+    /// Closes the connection once all that waits is written; nothing more is put in. Without a connection
+    /// nothing is closed, or a link that was let go could never be used again.
     pub fn finish(&self) {
         self.close(Close::Written);
     }
-    /// Closes the connection at once.
+    /// Closes the connection at once. Nothing without one.
     pub fn cut(&self) {
         self.close(Close::Now);
     }
     fn close(&self, how: Close) {
         let mut queue = self.queue();
-        queue.close = queue.close.max(how);
-        wake(&queue);
+        if matches!(queue.waker, Some(Waker::Io(_))) {
+            queue.close = queue.close.max(how);
+            wake(&queue);
+        }
     }
     /// Nothing waits.
     pub fn is_empty(&self) -> bool {
         self.queue().waiting == 0
     }
-    /// When the connection last carried something.
+    /// When the connection last carried something; 0 while there is none.
     pub fn used(&self) -> u64 {
         self.queue().used
     }
@@ -115,7 +118,7 @@
     /// Forgets what waits: a new connection begins.
     pub(crate) fn clear(&self) {
         let mut queue = self.queue();
-        (queue.done, queue.waiting, queue.close) = (0, 0, Close::No);
+        (queue.done, queue.waiting, queue.close, queue.used) = (0, 0, Close::No, 0);
         queue.chunks.clear();
     }
     /// Writes the first chunk through `write`; false if nothing waits.
--- a/net/src/tests.rs
+++ b/net/src/tests.rs
@@ -167,6 +167,20 @@
     assert_eq!((&came, heard.recv_timeout(WAIT)), (b"again", Ok("up")));
 }
 
+#[test]
+fn a_link_that_was_let_go_connects_again_however_often_it_is_let_go() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (out, heard) = link(listener.local_addr().unwrap(), false);
+    for _ in 0..3 {
+        assert!(out.put(&[b"call"]), "refused though nothing is wrong");
+        assert_eq!(heard.recv_timeout(WAIT), Ok("up"));
+        listener.accept().unwrap().0.read_exact(&mut [0; 4]).unwrap();
+        out.finish();
+        assert_eq!(heard.recv_timeout(WAIT), Ok("down"));
+        out.finish(); // there is no connection any more
+    }
+}
+
 #[test]
 fn coroutines_that_end_right_after_a_wait_leave_the_worker_free() {
     worker();
