--- a/daemon/tests/program.rs
+++ b/daemon/tests/program.rs
@@ -97,6 +97,12 @@
                     tell(b"greeting EMPTY 5\r\n".to_vec());
                     notices.iter().skip(words[1].parse().unwrap()).for_each(|n| tell(n.clone()));
                 }
+                "launch" if body == b"slow" => {
+                    thread::sleep(Duration::from_millis(600));
+                    let line = format!("outcome {number} {} PASS 600 4\r\nslow\r\n", words[1]);
+                    notices.push(line.into_bytes());
+                    tell(notices[number - 1].clone());
+                }
                 "launch" => {
                     let line = format!("request {number} {} {}\r\n", words[1], body.len());
                     notices.push([line.as_bytes(), &body, b"\r\n"].concat());
@@ -274,6 +280,25 @@
     assert!(text(&output).contains("rpcs=8 ") && text(&output).contains(" ok=8 "), "{}", text(&output));
 }
 
+#[test]
+fn after_a_pause_what_has_arrived_is_read_before_time_is_told() {
+    let (listen, config, reports) = stand_ins(false);
+    let child = start("pause", &config.to_string());
+    assert!(reports.recv_timeout(WAIT).unwrap().contains("yes"));
+    let mut sidecar = connect(listen);
+    let rpc = ask(1, "00000000000000e1", b"slow");
+    let patience = rpc.windows(4).position(|four| four == b"1900").unwrap();
+    sidecar.write_all(&[&rpc[..patience], b"0500", &rpc[patience + 4..]].concat()).unwrap();
+    thread::sleep(Duration::from_millis(150));
+    signal(&child, "STOP");
+    thread::sleep(Duration::from_millis(800)); // it ends meanwhile, and would have been due
+    signal(&child, "CONT");
+    let (kind, _, payload) = next(&mut sidecar).unwrap();
+    assert_eq!((kind, payload[0]), (2, 0));
+    signal(&child, "TERM");
+    assert_eq!(ended(child).status.code(), Some(0));
+}
+
 #[test]
 fn nonsense_from_every_side_is_counted_and_outlived() {
     let (listen, config, reports) = stand_ins(true);
