SIGHUP reads the configuration again and goes over to the new addresses

Ruled out: the file itself (it parses) and the old links (they serve 1.5 s longer).

Agent, name service and layer below are Addresses that may move while links stand; a file that can't be used changes nothing and is counted. A report that goes unanswered no longer holds a change up: it is given up within 50 ms once there is news.

--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -70,6 +70,9 @@
     broken,
     /// Idle connections that were closed.
     closed_idle,
+    /// Times the configuration was read again, and those of them that changed nothing as it could not be used.
+    reloads,
+    reloads_failed,
     /// Reports that the name service counted, and those it didn't.
     reports,
     reports_lost,
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -13,16 +13,17 @@
 use crate::hub::Hub;
 use crate::parties::{report, Agent, Below, Sidecar};
 use asterrill::Us;
-use asterrill_net::{drive, hold, listen, now, spawn, wait_until, End, Outbox, Pause, Pool, Room, SIZE};
+use asterrill_net::{
+    drive, hold, listen, now, spawn, wait_until, Address, End, Outbox, Pause, Pool, Room, SIZE,
+};
 use asterrill_protocol::{agent, frames, records};
 use asterrill_settings::Fault;
 use nanorand::{Rng, WyRand};
-use signal_hook::consts::{SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
 use signal_hook::iterator::{Handle, Signals};
-use slog::{info, o, Drain, Logger};
+use slog::{info, o, warn, Drain, Logger};
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 const KEPT_BACK: u64 = 18; // descriptors: 14 are in use without a sidecar, the agent and the layer below included
@@ -65,7 +66,7 @@
     let to = told()?;
     asterrill_net::one_worker()?;
     let listener = asterrill_net::bind(to.listen).map_err(|e| Fault::new(format!("{}: {e}", to.listen)))?;
-    let mut signals = Signals::new([SIGTERM, SIGUSR1])?;
+    let mut signals = Signals::new([SIGTERM, SIGUSR1, SIGHUP])?;
     let mut chance = WyRand::new_seed(to.seed);
     // Two pools, so that what is held can't keep what is owed from being written.
     let [pool, held] =
@@ -79,36 +80,44 @@
         to.records.iter().flat_map(|_| (0..LINKS).map(|_| Outbox::new(&pool, LINK))).collect();
     let core = Core::new(now(), server, held);
     let hub = Arc::new(Hub::new(core, agent_out.clone(), below.clone(), idle, pool.clone(), log.clone()));
-    let notice = Arc::new(AtomicBool::new(false));
+    let orders = Arc::new(Orders::default());
+    let places = Arc::new(Places {
+        agent: Address::new(to.agent),
+        naming: Address::new(to.naming),
+        records: to.records.map(Address::new),
+        links: std::iter::once(&agent_out).chain(&below).cloned().collect(),
+    });
     info!(log, "started"; "name" => &to.name, "listen" => %to.listen);
 
     {
-        let (hub, notice, handle) = (hub.clone(), notice.clone(), signals.handle());
-        spawn("clock", move || clock(&hub, &notice, to.stop, &handle))?;
+        let (hub, orders, places) = (hub.clone(), orders.clone(), places.clone());
+        let (handle, stop) = (signals.handle(), to.stop);
+        spawn("clock", move || clock(&hub, &orders, &places, stop, &handle))?;
     }
     {
         let (hub, seed, params) = (hub.clone(), to.seed, to.server.clone());
         let (pool, pause) = (pool.clone(), Pause::new(ms(10), ms(1000), chance.generate()));
+        let places = places.clone();
         spawn("agent", move || {
             let make = move |at, cold| asterrill_settings::server(at, seed, &params, Some(cold)).ok();
             let (out, make) = (agent_out.clone(), Box::new(make));
             let mut party = Agent { hub, out, notices: agent::Reader::default(), make };
-            hold(to.agent, &agent_out, &pool, true, pause, &mut party);
+            hold(&places.agent, &agent_out, &pool, true, pause, &mut party);
         })?;
     }
     for (i, out) in below.into_iter().enumerate() {
         let (hub, pool, pause) = (hub.clone(), pool.clone(), Pause::new(ms(10), ms(200), chance.generate()));
-        let Some(records) = to.records else { break };
+        let Some(records) = places.records.clone() else { break };
         spawn("below", move || {
             let (link, replies) = (LinkId(i), records::Reader::default());
             let mut party = Below { hub, out: out.clone(), link, replies };
-            hold(records, &out, &pool, false, pause, &mut party);
+            hold(&records, &out, &pool, false, pause, &mut party);
         })?;
     }
     {
         let (hub, pause) = (hub.clone(), Pause::new(ms(50), ms(1000), chance.generate()));
-        let (name, at) = (to.name.clone(), to.naming);
-        spawn("naming", move || report(&hub, &name, at, pause))?;
+        let (name, places) = (to.name.clone(), places.clone());
+        spawn("naming", move || report(&hub, &name, &places.naming, pause))?;
     }
     {
         let hub = hub.clone();
@@ -145,12 +154,11 @@
     }
     for signal in signals.forever() {
         match signal {
-            SIGTERM => {
-                notice.store(true, Ordering::Release);
-                hub.clock.ring();
-            }
+            SIGTERM => orders.lock().leave = true,
+            SIGHUP => orders.lock().reload = Some(told()),
             _ => info!(log, "counters"; "of" => hub.counters()),
         }
+        hub.clock.ring();
     }
     info!(log, "ended"; "counters" => hub.counters());
     Ok(())
@@ -160,14 +168,74 @@
     Duration::from_millis(n)
 }
 
+/// What signals asked for: taken on a thread of their own, carried out on the worker.
+#[derive(Default)]
+struct Orders(Mutex<Order>);
+
+#[derive(Default)]
+struct Order {
+    leave: bool,
+    reload: Option<Result<Deployment, Fault>>,
+}
+
+impl Orders {
+    fn lock(&self) -> MutexGuard<'_, Order> {
+        self.0.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+/// Where the other sides are, and the links to them.
+struct Places {
+    agent: Address,
+    naming: Address,
+    records: Option<Address>,
+    links: Vec<Outbox>, // the agent's first
+}
+
+impl Places {
+    /// Goes over to where the other sides are now. Links below go on until their other side ends them.
+    fn go_over(&self, hub: &Hub, to: &Deployment) {
+        if self.agent.moves(to.agent) {
+            self.links.iter().take(1).for_each(Outbox::cut);
+        }
+        if let (Some(records), Some(at)) = (&self.records, to.records) {
+            records.moves(at);
+        }
+        self.naming.moves(to.naming);
+        self.links.iter().for_each(Outbox::moved);
+        hub.naming.ring();
+    }
+}
+
+/// The configuration was read again. One that can't be used changes nothing.
+fn reload(hub: &Hub, places: &Places, stop: &mut Us, to: Result<Deployment, Fault>) {
+    let fine = to.is_ok();
+    hub.with(|core, _, _| {
+        core.counters.reloads += u64::from(fine);
+        core.counters.reloads_failed += u64::from(!fine);
+    });
+    match to {
+        Ok(to) => {
+            *stop = to.stop;
+            places.go_over(hub, &to);
+            info!(hub.log, "the configuration was read again"; "agent" => %to.agent, "naming" => %to.naming);
+        }
+        Err(fault) => warn!(hub.log, "the configuration stays as it was"; "why" => %fault),
+    }
+}
+
 /// Lets time pass for the core, and ends the program once it has left.
-fn clock(hub: &Hub, notice: &AtomicBool, stop: Us, handle: &Handle) {
+fn clock(hub: &Hub, orders: &Orders, places: &Places, mut stop: Us, handle: &Handle) {
     hub.clock.attend();
     hub.with(|core, wire, now| core.start(now, wire));
     loop {
         let at = hub.arm(Us::MAX);
         wait_until(at.min(now() + LOOK));
-        if notice.swap(false, Ordering::AcqRel) {
+        let order = std::mem::take(&mut *orders.lock());
+        if let Some(to) = order.reload {
+            reload(hub, places, &mut stop, to);
+        }
+        if order.leave {
             hub.with(|core, wire, now| core.drain(now, stop, wire));
         }
         if now() > at.saturating_add(LATE) {
--- a/daemon/src/parties.rs
+++ b/daemon/src/parties.rs
@@ -4,12 +4,11 @@
 use crate::core::{ConnId, LinkId, Place};
 use crate::hub::Hub;
 use asterrill::Us;
-use asterrill_net::{exchange, now, wait_until, Outbox, Party, Pause, Peer};
+use asterrill_net::{exchange, now, wait_until, Address, Outbox, Party, Pause, Peer};
 use asterrill_protocol::agent::{self, Notice};
 use asterrill_protocol::{frames, naming, records, Broken};
 use asterrill_settings::Server;
 use slog::warn;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -169,30 +168,37 @@
     }
 }
 
-/// Tells the name service whether this backend takes work, at once when that changes.
-pub fn report(hub: &Hub, name: &str, at: SocketAddr, mut pause: Pause) {
+/// Tells the name service whether this backend takes work, at once when that or its address changes. A report
+/// that went out may count though it is not answered, so only one that could not be sent makes the next wait.
+pub fn report(hub: &Hub, name: &str, to: &Address, mut pause: Pause) {
     hub.naming.attend();
-    let (host, mut kept) = (at.to_string(), None);
+    let (mut at, mut kept) = (to.get(), None);
     loop {
         let Some(serving) = hub.serving() else {
             wait_until(now() + REPORT);
             continue;
         };
+        if at != to.get() {
+            (at, kept) = (to.get(), None);
+        }
+        let news = || hub.serving() != Some(serving) || to.get() != at;
         let (mut request, mut reader, mut counts) = (Vec::new(), naming::Reader::default(), false);
-        naming::report(&mut request, name, &host, serving);
-        let fresh = kept.is_none();
-        let done = exchange(kept.take(), at, &request, WITHIN, |mut bytes| match reader.next(&mut bytes) {
-            Ok(None) => None,
-            Ok(Some(reply)) => {
-                counts = reply.counts;
-                Some(reply.stays)
-            }
-            Err(broken) => {
-                warn!(hub.log, "a report was lost"; "why" => broken.0);
-                hub.with(|core, _, _| core.counters.bad_naming += 1);
-                Some(false)
-            }
-        });
+        naming::report(&mut request, name, &at.to_string(), serving);
+        let start = now();
+        let (fresh, wanted) = (kept.is_none(), || !news());
+        let done =
+            exchange(kept.take(), at, &request, WITHIN, wanted, |mut bytes| match reader.next(&mut bytes) {
+                Ok(None) => None,
+                Ok(Some(reply)) => {
+                    counts = reply.counts;
+                    Some(reply.stays)
+                }
+                Err(broken) => {
+                    warn!(hub.log, "a report was lost"; "why" => broken.0);
+                    hub.with(|core, _, _| core.counters.bad_naming += 1);
+                    Some(false)
+                }
+            });
         hub.with(|core, _, _| {
             core.counters.reports += u64::from(counts);
             core.counters.reports_lost += u64::from(!counts);
@@ -200,11 +206,11 @@
         kept = done.flatten();
         if counts {
             pause.reset();
-            if hub.serving() == Some(serving) {
-                wait_until(now() + REPORT);
+            if !news() {
+                wait_until(start + REPORT);
             }
-        } else if fresh {
-            pause.rest();
+        } else if fresh && now() < start + WITHIN.as_micros() as u64 {
+            pause.rest_unless(news);
         }
     }
 }
--- a/daemon/tests/program.rs
+++ b/daemon/tests/program.rs
@@ -4,8 +4,10 @@
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -27,8 +29,12 @@
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
+fn path(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("asterrilld-{}-{name}.json", std::process::id()))
+}
+
 fn start(name: &str, told: &str) -> Child {
-    let path = std::env::temp_dir().join(format!("asterrilld-{}-{name}.json", std::process::id()));
+    let path = path(name);
     std::fs::write(&path, told).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_asterrilld"));
     command.env("GW_CONFIG", &path).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap()
@@ -80,9 +86,12 @@
     stream.read(&mut [0; 1024]).unwrap_or_default(); // until it is closed
 }
 
+/// All the notices of an agent, which go on where it moves to.
+type Notices = Arc<Mutex<Vec<Vec<u8>>>>;
+
 /// An agent whose first link breaks in the middle of a run. Each run makes one call; its result is the reply.
-fn agent(at: TcpListener, nonsense: bool) {
-    let (mut notices, mut greeted): (Vec<Vec<u8>>, bool) = (Vec::new(), false);
+fn agent(at: TcpListener, nonsense: bool, notices: Notices) {
+    let mut greeted = !notices.lock().unwrap().is_empty();
     if nonsense {
         spoil(&at, b"greeting PERHAPS\r\n");
     }
@@ -90,6 +99,7 @@
         let mut to = stream.unwrap();
         let mut from = BufReader::new(to.try_clone().unwrap());
         while let Some((words, body)) = command(&mut from) {
+            let mut notices = notices.lock().unwrap();
             let mut tell = |bytes: Vec<u8>| drop(to.write_all(&bytes));
             let number = notices.len() + 1;
             match words[0].as_str() {
@@ -217,12 +227,16 @@
 }
 
 fn stand_ins(nonsense: bool) -> (SocketAddr, Value, Receiver<String>) {
+    stand_ins_with(nonsense, Notices::default())
+}
+
+fn stand_ins_with(nonsense: bool, notices: Notices) -> (SocketAddr, Value, Receiver<String>) {
     let [a, r, n] = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
     let at = |l: &TcpListener| l.local_addr().unwrap();
     let listen = free();
     let config = told(listen, at(&a), at(&r), at(&n));
     let (told, reports) = channel();
-    thread::spawn(move || agent(a, nonsense));
+    thread::spawn(move || agent(a, nonsense, notices));
     thread::spawn(move || below(r, nonsense));
     thread::spawn(move || naming(n, told, nonsense));
     (listen, config, reports)
@@ -299,6 +313,38 @@
     assert_eq!(ended(child).status.code(), Some(0));
 }
 
+#[test]
+fn told_anew_it_goes_over_to_the_new_addresses_and_nothing_else_changes() {
+    let notices = Notices::default();
+    let (listen, config, reports) = stand_ins_with(false, notices.clone());
+    let child = start("anew", &config.to_string());
+    assert!(reports.recv_timeout(WAIT).unwrap().contains("yes"));
+    let mut sidecar = connect(listen);
+    let mut serves = |stream: u32| {
+        sidecar.write_all(&ask(stream, &format!("00000000000000f{stream}"), b"body")).unwrap();
+        let (kind, on, payload) = next(&mut sidecar).unwrap();
+        assert!((kind, on, payload[0]) == (2, stream, 0) && payload.ends_with(b"ydob"), "{payload:?}");
+    };
+    serves(1);
+    let anew = |told: &str| {
+        std::fs::write(path("anew"), told).unwrap();
+        signal(&child, "HUP");
+    };
+    anew(&config.to_string()[..90]); // half written
+    serves(2);
+    thread::sleep(Duration::from_millis(200)); // signals that wait are taken together
+    let (_, moved, moved_reports) = stand_ins_with(false, notices);
+    anew(&moved.to_string());
+    assert!(moved_reports.recv_timeout(WAIT).unwrap().contains("yes"));
+    serves(3);
+    signal(&child, "TERM");
+    let output = ended(child);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    for counted in ["reloads=1 ", "reloads_failed=1 ", " ok=3 ", "agent_up=3 "] {
+        assert!(text(&output).contains(counted), "{counted} {}", text(&output));
+    }
+}
+
 #[test]
 fn nonsense_from_every_side_is_counted_and_outlived() {
     let (listen, config, reports) = stand_ins(true);
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -12,7 +12,7 @@
 mod tests;
 
 pub use clock::{now, wait_until, Bell};
-pub use link::{hold, Party, Pause};
+pub use link::{hold, Address, Party, Pause};
 pub use listener::{bind, listen, Room};
 pub use outbox::Outbox;
 pub use pool::{Buf, Pool, SIZE};
--- a/net/src/link.rs
+++ b/net/src/link.rs
@@ -7,8 +7,29 @@
 use may::net::TcpStream;
 use nanorand::{Rng, WyRand};
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+/// Where the other side listens; it may move while links stand.
+#[derive(Clone)]
+pub struct Address(Arc<Mutex<SocketAddr>>);
+
+impl Address {
+    pub fn new(at: SocketAddr) -> Address {
+        Address(Arc::new(Mutex::new(at)))
+    }
+    fn at(&self) -> MutexGuard<'_, SocketAddr> {
+        self.0.lock().unwrap_or_else(|e| e.into_inner())
+    }
+    pub fn get(&self) -> SocketAddr {
+        *self.at()
+    }
+    /// True if that is somewhere else.
+    pub fn moves(&self, to: SocketAddr) -> bool {
+        std::mem::replace(&mut *self.at(), to) != to
+    }
+}
+
 /// Who is at the other end of a link.
 pub trait Party: Peer {
     /// A new connection stands; whatever is put out from now on goes there.
@@ -33,9 +54,13 @@
         self.next = self.least;
     }
     pub fn rest(&mut self) {
+        self.rest_unless(|| false);
+    }
+    /// Ends early once that is so, which is looked at whenever the coroutine is woken.
+    pub fn rest_unless(&mut self, ends: impl Fn() -> bool) {
         let jitter = 0.5 + self.chance.generate::<f64>();
         let until = now() + self.next.mul_f64(jitter).as_micros() as u64;
-        while now() < until {
+        while now() < until && !ends() {
             wait_until(until);
         }
         self.next = (self.next * 2).min(self.most);
@@ -45,15 +70,16 @@
 const CONNECT: Duration = Duration::from_millis(1000);
 const LIVED: u64 = 1_000_000; // a connection that lasted so long was a good one: pauses begin anew
 
-/// Holds a link for good. An eager one is always up; another connects when something waits to be sent.
-pub fn hold(to: SocketAddr, out: &Outbox, pool: &Pool, eager: bool, mut pause: Pause, party: &mut dyn Party) {
+/// Holds a link for good. An eager one is always up; another connects when something waits to be sent. One that
+/// stands where the other side was before goes on until it ends; whoever moves the address wakes the rest.
+pub fn hold(to: &Address, out: &Outbox, pool: &Pool, eager: bool, mut pause: Pause, party: &mut dyn Party) {
     loop {
         out.wakes(Some(Waker::Parked(coroutine::current())));
         while !eager && out.is_empty() {
             park();
         }
-        let start = now();
-        match TcpStream::connect_timeout(&to, CONNECT) {
+        let (start, at) = (now(), to.get());
+        match TcpStream::connect_timeout(&at, CONNECT) {
             Ok(stream) => {
                 if eager {
                     out.clear();
@@ -72,6 +98,7 @@
         if now() >= start + LIVED {
             pause.reset();
         }
-        pause.rest();
+        out.wakes(Some(Waker::Parked(coroutine::current())));
+        pause.rest_unless(|| to.get() != at);
     }
 }
--- a/net/src/outbox.rs
+++ b/net/src/outbox.rs
@@ -90,6 +90,10 @@
     pub fn cut(&self) {
         self.close(Close::Now);
     }
+    /// Wakes the owner: the other side is to be found elsewhere from now on.
+    pub fn moved(&self) {
+        wake(&self.queue());
+    }
     fn close(&self, how: Close) {
         let mut queue = self.queue();
         if matches!(queue.waker, Some(Waker::Io(_))) {
--- a/net/src/socket.rs
+++ b/net/src/socket.rs
@@ -29,6 +29,7 @@
 
 const READS: usize = 4; // buffers read in a row before others get their turn
 const STARVED: u64 = 1_000; // between looks for a buffer while none is free
+const GLANCE: Duration = Duration::from_millis(50); // between looks whether a reply is still wanted
 const GONE: usize = 0x8 | 0x10; // the flags for an error and for a connection closed on both sides
 
 /// Drives a connection until it ends.
@@ -96,23 +97,33 @@
 }
 
 /// Sends a request on a connection that is kept for the next, and reads until `done` has its reply. None on
-/// any failure: the connection is gone then.
+/// any failure, and once the reply is not `wanted` any more: the connection is gone then.
 pub fn exchange(
-    kept: Option<TcpStream>, to: SocketAddr, request: &[u8], within: Duration,
+    kept: Option<TcpStream>, to: SocketAddr, request: &[u8], within: Duration, wanted: impl Fn() -> bool,
     mut done: impl FnMut(&[u8]) -> Option<bool>,
 ) -> Option<Option<TcpStream>> {
+    let until = now() + within.as_micros() as u64;
     let mut stream = match kept {
         Some(stream) => stream,
         None => TcpStream::connect_timeout(&to, within).ok()?,
     };
-    stream.set_read_timeout(Some(within)).ok()?;
+    stream.set_read_timeout(Some(GLANCE)).ok()?;
     stream.set_write_timeout(Some(within)).ok()?;
     stream.write_all(request).ok()?;
     let mut bytes = [0; 512];
     loop {
-        let n = stream.read(&mut bytes).ok().filter(|n| *n > 0)?;
-        if let Some(stays) = done(&bytes[..n]) {
-            return Some(stays.then_some(stream));
+        match stream.read(&mut bytes) {
+            Ok(0) => return None,
+            Ok(n) => {
+                if let Some(stays) = done(&bytes[..n]) {
+                    return Some(stays.then_some(stream));
+                }
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {}
+            Err(_) => return None,
+        }
+        if now() >= until || !wanted() {
+            return None;
         }
     }
 }
--- a/net/src/tests.rs
+++ b/net/src/tests.rs
@@ -139,7 +139,8 @@
     let out = Outbox::new(&pool, SIZE);
     let ((told, heard), kept) = (channel(), out.clone());
     let pause = Pause::new(Duration::from_millis(10), Duration::from_millis(80), 5);
-    spawn("link", move || hold(to, &out, &pool, eager, pause, &mut Count(out.clone(), told))).unwrap();
+    spawn("link", move || hold(&Address::new(to), &out, &pool, eager, pause, &mut Count(out.clone(), told)))
+        .unwrap();
     (kept, heard)
 }
 
