Bad clients are told or closed within 3 s and take no room from sidecars

At fault: daemon/src/hub.rs (a mute connection counted as merely idle, half a frame was waited for 5 s), net/src/listener.rs and crowded() (one connection freed in 50 ms, a second after it was asked), core.rs (an unknown tenant taken for none), frames.rs (order never checked; streams given up that were never used). Ruled out: CPU (0.05 of a core) and memory (7 of 48 MB).

Now whoever says nothing whole within 2 s, or stops in a frame for 1.5 s, is told so and closed; an eighth of the room is kept free by letting mute, then quiet connections go; at the cap one goes at once, the least useful first, and nothing more is read from it. RPCs with an unknown tenant, a rank out of range or signed numbers are aborted; four RPCs in a row that could not be run, those refused by the agent included, end their connection; only connections that have had a run share answers. A connection is known to the hub before the next one is taken in. Log lines about sidecars are bounded.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -39,6 +39,8 @@
     fn give_up(&mut self, link: LinkId, id: RpcId);
     /// Closes a link on which no call is in hand; it is made anew when it is needed. False if it isn't up.
     fn close_link(&mut self, link: LinkId) -> bool;
+    /// Ends a connection of which nothing could be run.
+    fn distrust(&mut self, conn: ConnId);
     /// What the name service is to be told from now on.
     fn serving(&mut self, yes: bool);
     /// No new RPC is wanted on any connection.
@@ -54,6 +56,7 @@
 const ASKING: usize = 64; // thorough checks that wait at a time; more are answered from store
 const FLUSH: Us = 100_000; // kept free before the kill, to write out what is owed
 const KEPT: usize = 1024; // results kept for repeats
+const NONSENSE: u32 = 4; // RPCs in a row that could not be run: a connection that brings only such is closed
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -88,6 +91,15 @@
     Skip(NoticeId),
 }
 
+/// What is known of a connection that brought an RPC.
+#[derive(Clone, Copy, Debug, Default)]
+struct Standing {
+    /// A run was made for it: it is a sidecar that the agent knows of.
+    proven: bool,
+    /// RPCs since then that could not be run.
+    nonsense: u32,
+}
+
 /// What the module is told once it has been heard out.
 enum Later {
     CallRefused(RpcId),
@@ -128,6 +140,7 @@
     now: Us,
     open: BTreeMap<RpcId, Rpc>,
     owed: BTreeMap<Place, RpcId>,
+    conns: BTreeMap<ConnId, Standing>,
     kept: BTreeMap<RpcId, Kept>,
     kept_until: BTreeSet<(Us, RpcId)>,
     by_key: BTreeMap<(MethodId, u64), RpcId>,
@@ -163,6 +176,7 @@
             now,
             open: BTreeMap::new(),
             owed: BTreeMap::new(),
+            conns: BTreeMap::new(),
             kept: BTreeMap::new(),
             kept_until: BTreeSet::new(),
             by_key: BTreeMap::new(),
@@ -193,21 +207,33 @@
         self.carry(outcome, wire);
     }
 
-    /// An RPC came whole. False if its connection breaks the protocol: too many at a time.
+    /// An RPC came whole. False if nothing more is taken from its connection: too many streams are open, or
+    /// nothing that came on it could be run.
     pub fn rpc_read(&mut self, now: Us, place: Place, ask: Ask, body: &[u8], wire: &mut dyn Wire) -> bool {
         self.pass(now);
-        if self.owed_on(place.conn) >= STREAMS {
+        let standing = *self.conns.entry(place.conn).or_default();
+        if self.owed_on(place.conn) >= STREAMS || standing.nonsense >= NONSENSE {
             return false;
         }
         self.counters.rpcs += 1;
         let method = self.server.methods.get(&ask.method).copied();
-        let body = self.pool.hold(body);
-        let (Some(method), Some(body), false) = (method, body, self.open.contains_key(&ask.id)) else {
+        let tenant = self.server.tenants.get(&ask.tenant).copied();
+        // Where tenants are told apart, an RPC is of one of them.
+        let known = tenant.is_some() || self.server.tenants.is_empty();
+        let taken = self.open.contains_key(&ask.id);
+        let (Some(method), true, false) = (method, known, taken) else {
             self.refuse(place, wire);
             return true;
         };
+        let Some(body) = self.pool.hold(body) else {
+            self.counters.no_buffer += 1;
+            self.abort(place, wire);
+            return true;
+        };
         let (id, stage, link) = (ask.id, Stage::Held, None);
-        let key = ask.key.filter(|_| self.server.shares[method.0] && self.server.fresh > 0);
+        // What the agent may never have heard of is not joined to anything, and nothing to it.
+        let shares = self.server.shares[method.0] && self.server.fresh > 0 && standing.proven;
+        let key = ask.key.filter(|_| shares);
         let prior = key.and_then(|key| self.prior((method, key)));
         if let Some(key) = key.filter(|_| prior.is_none() && self.kept.len() < KEPT) {
             self.by_key.insert((method, key), id);
@@ -228,25 +254,43 @@
             prior,
             key: ask.key,
         };
-        let tenant = self.server.tenants.get(&ask.tenant).copied();
         let outcome = self.server.control.rpc_read(self.now, arrival, tenant);
         self.carry(outcome, wire);
         true
     }
 
-    /// An RPC that can't be understood.
-    pub fn odd(&mut self, now: Us, place: Place, wire: &mut dyn Wire) {
+    /// An RPC that can't be understood. False if nothing more is taken from its connection.
+    pub fn odd(&mut self, now: Us, place: Place, wire: &mut dyn Wire) -> bool {
         self.pass(now);
-        self.counters.rpcs += 1;
-        self.refuse(place, wire);
+        let fine = self.conns.entry(place.conn).or_default().nonsense < NONSENSE;
+        if fine {
+            self.counters.rpcs += 1;
+            self.refuse(place, wire);
+        }
+        fine
     }
 
+    /// For an RPC that could never be run here.
     fn refuse(&mut self, place: Place, wire: &mut dyn Wire) {
         self.counters.odd += 1;
+        self.abort(place, wire);
+        self.nonsense(place.conn, wire);
+    }
+
+    fn abort(&mut self, place: Place, wire: &mut dyn Wire) {
         self.counters.aborted += 1;
         wire.answer(place, Final::Aborted, self.credit);
     }
 
+    fn nonsense(&mut self, conn: ConnId, wire: &mut dyn Wire) {
+        let Some(standing) = self.conns.get_mut(&conn) else { return };
+        standing.nonsense += 1;
+        if standing.nonsense == NONSENSE {
+            self.counters.bad_sidecar += 1;
+            wire.distrust(conn);
+        }
+    }
+
     /// The read with this key that is open, or ended ok not long ago.
     fn prior(&self, key: (MethodId, u64)) -> Option<RpcId> {
         let id = self.by_key.get(&key)?;
@@ -269,6 +313,7 @@
         while let Some(place) = self.first_on(conn) {
             self.gone(now, place, wire);
         }
+        self.conns.remove(&conn);
     }
 
     fn on(&self, conn: ConnId) -> impl Iterator<Item = &Place> {
@@ -415,7 +460,9 @@
         self.counters.refusals += 1;
         let stage = launch.and_then(|id| Some((id, self.open.get(&id)?.stage)));
         if let Some((id, Stage::Running(Sent::Launch, _))) = stage {
+            let conn = self.open.get(&id).map(|rpc| rpc.place.conn);
             self.over(id, RunEnd::NotStarted, &[], wire);
+            conn.into_iter().for_each(|conn| self.nonsense(conn, wire));
         }
     }
 
@@ -424,6 +471,10 @@
             self.counters.stale += 1;
             return;
         };
+        if matches!(end, RunEnd::Ok | RunEnd::Aborted) {
+            let run = Standing { proven: true, nonsense: 0 };
+            self.conns.entry(rpc.place.conn).and_modify(|standing| *standing = run);
+        }
         match end {
             RunEnd::Ok => self.counters.runs_ok += 1,
             RunEnd::Aborted => self.counters.runs_aborted += 1,
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -20,8 +20,10 @@
 counters! {
     /// RPCs read from sidecars.
     rpcs,
-    /// Of these, those that could only be aborted: a field missing or odd, an unknown method, no memory.
+    /// Of these, those that could only be aborted: a field missing or odd, an unknown method or tenant, an id
+    /// that is open. And those for which there was no buffer.
     odd,
+    no_buffer,
     /// Final answers: ok.
     ok,
     /// Final answers: pushed back.
@@ -68,8 +70,9 @@
     /// Connections taken in, and those that ended because the other side broke them off or read too slowly.
     connections,
     broken,
-    /// Idle connections that were closed.
+    /// Idle connections that were closed, and those that went at once as there was no room for another.
     closed_idle,
+    closed_crowded,
     /// Times the configuration was read again, and those of them that changed nothing as it could not be used.
     reloads,
     reloads_failed,
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -11,7 +11,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Mutex, MutexGuard};
 
-const HALF: Us = 5_000_000; // a frame that came by half is waited for so long
+const HALF: Us = 1_500_000; // a frame that came by half is waited for so long
+const FIRST: Us = 2_000_000; // a connection says something whole within this time, or is of no use
+const NEW: Us = 100_000; // one this young may be about to say something, even at the cap
+const SPARE: usize = 8; // of the connections there is room for, the share of one in so many kept free
+const QUIET: Us = 1_000_000; // idle ones are asked to leave for that once they have been quiet so long
+const LINES: u32 = 5; // of the log in a second about sidecars; more are counted only
 const LEAVE: Us = 1_000_000; // a sidecar told that a connection is not wanted closes it within this time
 const BELOW: Us = 500_000; // an unused link below is closed before the other side does, or forgets it
 const STALL: Us = 200_000; // a reply from below that stopped halfway is waited for so long
@@ -19,11 +24,21 @@
 /// A sidecar's connection.
 struct Line {
     out: Outbox,
+    since: Us,
+    /// It has said something whole.
+    heard: bool,
     halfway: Option<Us>,
     /// When the sidecar was told that it is not wanted any more.
     leaving: Option<Us>,
 }
 
+impl Line {
+    /// When it last carried something, or came.
+    fn used(&self) -> Us {
+        self.out.used().max(self.since)
+    }
+}
+
 /// The outboxes: what the core has written goes through here.
 struct Ports {
     lines: BTreeMap<ConnId, Line>,
@@ -31,6 +46,8 @@
     ending: BTreeSet<ConnId>,
     agent: Outbox,
     below: Vec<Outbox>,
+    room: usize,              // for connections
+    told: (Us, u32),          // the second in which so many lines about sidecars were logged
     stalled: Vec<Option<Us>>, // of each link below, since when a reply has come by half
     serving: Option<bool>,
     idle: Us,
@@ -57,11 +74,15 @@
 }
 
 impl Hub {
-    pub fn new(core: Core, agent: Outbox, below: Vec<Outbox>, idle: Us, pool: Pool, log: Logger) -> Hub {
+    pub fn new(
+        core: Core, agent: Outbox, below: Vec<Outbox>, room: usize, idle: Us, pool: Pool, log: Logger,
+    ) -> Hub {
         let ports = Ports {
             lines: BTreeMap::new(),
             ending: BTreeSet::new(),
             agent,
+            room,
+            told: (0, 0),
             stalled: vec![None; below.len()],
             below,
             serving: None,
@@ -117,7 +138,8 @@
         if inner.ports.draining {
             inner.ports.leave(&out);
         }
-        inner.ports.lines.insert(conn, Line { out, halfway: None, leaving: None });
+        let line = Line { out, since: now(), heard: false, halfway: None, leaving: None };
+        inner.ports.lines.insert(conn, line);
         conn
     }
 
@@ -132,14 +154,16 @@
         inner.ports.ending.remove(&conn);
     }
 
-    /// After bytes of a connection were taken: whether it stands in the middle of a frame.
-    pub fn halfway(&self, conn: ConnId, halfway: bool) {
+    /// After bytes of a connection were taken: whether it has said something whole so far, and whether it
+    /// stands in the middle of a frame.
+    pub fn heard(&self, conn: ConnId, heard: bool, halfway: bool) {
         if let Some(line) = self.inner().ports.lines.get_mut(&conn) {
+            line.heard = heard;
             line.halfway = if halfway { line.halfway.or_else(|| Some(now())) } else { None };
         }
     }
 
-    /// The same for a link below.
+    /// Whether a link below stands in the middle of a reply.
     pub fn stalled(&self, link: LinkId, halfway: bool) {
         if let Some(since) = self.inner().ports.stalled.get_mut(link.0) {
             *since = if halfway { since.or_else(|| Some(now())) } else { None };
@@ -148,44 +172,52 @@
 
     /// No more is read from a connection: it is closed once nothing is owed on it. An error tells the sidecar.
     pub fn ending(&self, conn: ConnId, error: Option<&str>) {
-        self.with(|core, _, _| core.counters.bad_sidecar += u64::from(error.is_some()));
         let mut inner = self.inner();
         let Inner { core, ports, .. } = &mut *inner;
-        let Some(line) = ports.lines.get_mut(&conn) else { return };
-        ports.ending.insert(conn);
-        if let Some(text) = error {
-            info!(ports.log, "a sidecar's connection is closed"; "why" => text);
-            ports.scratch.clear();
-            frames::error(&mut ports.scratch, text);
-            line.out.put(&[&ports.scratch]);
+        match error {
+            Some(why) => core.counters.bad_sidecar += u64::from(ports.end(conn, why)),
+            None if ports.lines.contains_key(&conn) => drop(ports.ending.insert(conn)),
+            None => {}
         }
         ports.finish(core);
     }
 
-    /// Lets connections go that have carried nothing for as long as was decided, and those that stopped in
-    /// the middle of a frame.
+    /// Lets connections go that have carried nothing for as long as was decided, those that stopped in the
+    /// middle of a frame or never said anything whole, and the idlest before there is no room left.
     pub fn sweep(&self) {
         let now = now();
-        let mut stuck = Vec::new();
         let mut inner = self.inner();
         let Inner { core, ports, .. } = &mut *inner;
-        let idle = ports.idle;
-        let mut leave = Vec::new();
+        let mut idle = Vec::new();
+        let (mut stuck, mut mute, mut staying) = (Vec::new(), Vec::new(), 0_usize);
         for (conn, line) in &mut ports.lines {
-            let quiet = now.saturating_sub(line.out.used());
+            let owed = core.owed_on(*conn) > 0;
             if line.halfway.is_some_and(|since| since + HALF < now) {
                 line.halfway = None;
                 stuck.push(*conn);
+            } else if !line.heard && line.since + FIRST < now {
+                mute.push(*conn);
             } else if line.leaving.is_some_and(|since| since + LEAVE < now) {
                 ports.ending.insert(*conn);
-            } else if line.leaving.is_none() && quiet > idle && core.owed_on(*conn) == 0 {
-                leave.push(*conn);
+            } else if line.leaving.is_none() {
+                staying += 1;
+                idle.extend(Some((line.heard, line.used(), *conn)).filter(|_| !owed));
+            }
+        }
+        for (conns, why) in [(stuck, "a frame stopped halfway"), (mute, "nothing whole came")] {
+            for conn in conns {
+                core.counters.bad_sidecar += u64::from(ports.end(conn, why));
             }
         }
         ports.finish(core);
-        for conn in leave {
-            core.counters.closed_idle += 1;
-            ports.let_go(conn, now);
+        idle.sort_unstable();
+        let over = staying.saturating_sub(ports.room - ports.room / SPARE);
+        for (n, (heard, used, conn)) in idle.into_iter().enumerate() {
+            let quiet = if heard { QUIET } else { NEW };
+            if used.saturating_add(if n < over { quiet } else { ports.idle }) < now {
+                core.counters.closed_idle += 1;
+                ports.let_go(conn, now);
+            }
         }
         for link in (0..ports.below.len()).map(LinkId) {
             let out = &ports.below[link.0];
@@ -198,20 +230,29 @@
                 core.retire(link, ports);
             }
         }
-        drop(inner);
-        for conn in stuck {
-            self.ending(conn, Some("a frame stopped halfway"));
-        }
     }
 
-    /// There is no room for another connection: the one that is idle longest is let go.
+    /// There is no room for another connection: one goes at once on which nothing is owed. Nothing more is read
+    /// from it, so what crosses was never taken.
     pub fn crowded(&self) {
+        let now = now();
         let mut inner = self.inner();
         let Inner { core, ports, .. } = &mut *inner;
-        let idle = ports.lines.iter().filter(|(conn, l)| l.leaving.is_none() && core.owed_on(**conn) == 0);
-        if let Some(conn) = idle.min_by_key(|(_, line)| line.out.used()).map(|(conn, _)| *conn) {
-            core.counters.closed_idle += 1;
-            ports.let_go(conn, now());
+        // The least useful first: mute, then long quiet, then just come, then quiet only now.
+        let use_of = |line: &Line| match line.heard {
+            false if line.since + NEW < now => 0,
+            true if line.used() + QUIET < now => 1,
+            false => 2,
+            true => 3,
+        };
+        let open = ports.lines.iter().filter(|(_, line)| line.leaving.is_none());
+        let idle = open.filter(|(conn, _)| core.owed_on(**conn) == 0);
+        let first = idle.min_by_key(|(_, line)| (use_of(line), line.used())).map(|(conn, _)| *conn);
+        if let Some(conn) = first {
+            core.counters.closed_crowded += 1;
+            ports.let_go(conn, now);
+            ports.ending.insert(conn);
+            ports.finish(core);
         }
     }
 
@@ -241,6 +282,21 @@
         });
     }
 
+    /// Ends a connection that is of no use: it is told why, and closed once nothing is owed on it. False if
+    /// it ends already.
+    fn end(&mut self, conn: ConnId, why: &str) -> bool {
+        let Some(line) = self.lines.get(&conn).filter(|_| self.ending.insert(conn)) else { return false };
+        let second = now() / 1_000_000;
+        self.told = if self.told.0 == second { (second, self.told.1 + 1) } else { (second, 1) };
+        if self.told.1 <= LINES {
+            info!(self.log, "a sidecar's connection is closed"; "why" => why);
+        }
+        self.scratch.clear();
+        frames::error(&mut self.scratch, why);
+        line.out.put(&[&self.scratch]);
+        true
+    }
+
     fn leave(&mut self, out: &Outbox) {
         self.scratch.clear();
         frames::leaving(&mut self.scratch);
@@ -312,6 +368,9 @@
     fn close_link(&mut self, link: LinkId) -> bool {
         self.below.get(link.0).is_some_and(Outbox::finish)
     }
+    fn distrust(&mut self, conn: ConnId) {
+        self.end(conn, "nothing that came here could be run");
+    }
     fn serving(&mut self, yes: bool) {
         self.serving = Some(yes);
     }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -82,7 +82,9 @@
     let below: Vec<Outbox> =
         to.records.iter().flat_map(|_| (0..links).map(|_| Outbox::new(&pool, LINK))).collect();
     let core = Core::new(now(), server, held, below.len());
-    let hub = Arc::new(Hub::new(core, agent_out.clone(), below.clone(), idle, pool.clone(), log.clone()));
+    let room = to.sockets.saturating_sub(KEPT_BACK + links).max(1) as usize;
+    let (out, links) = (agent_out.clone(), below.clone());
+    let hub = Arc::new(Hub::new(core, out, links, room, idle, pool.clone(), log.clone()));
     let orders = Arc::new(Orders::default());
     let places = Arc::new(Places {
         agent: Address::new(to.agent),
@@ -131,26 +133,29 @@
     }
     {
         let (hub, log) = (hub.clone(), log.clone());
-        let room = Room::new(to.sockets.saturating_sub(KEPT_BACK + links).max(1) as usize);
         let crowd = hub.clone();
         spawn("listener", move || {
             listen(
                 listener,
-                room,
+                Room::new(room),
                 log,
                 || crowd.crowded(),
                 |stream, place| {
-                    let hub = hub.clone();
+                    // Known before the next one may find no room.
+                    let out = Outbox::new(&hub.pool, LINE);
+                    let conn: ConnId = hub.join(out.clone());
+                    let (hub, parted) = (hub.clone(), hub.clone());
                     let taken = spawn("sidecar", move || {
-                        let out = Outbox::new(&hub.pool, LINE);
-                        let conn: ConnId = hub.join(out.clone());
-                        let mut peer = Sidecar { hub: hub.clone(), conn, frames: frames::Reader::default() };
+                        let frames = frames::Reader::default();
+                        let mut peer = Sidecar { hub: hub.clone(), conn, frames, heard: false };
                         let end = drive(&stream, &out, &hub.pool, &mut peer);
                         hub.part(conn, end == End::Broken);
                         drop(stream);
                         drop(place);
                     });
-                    taken.unwrap_or_default();
+                    if taken.is_err() {
+                        parted.part(conn, true);
+                    }
                 },
             )
         })?;
--- a/daemon/src/parties.rs
+++ b/daemon/src/parties.rs
@@ -20,20 +20,19 @@
     pub hub: Arc<Hub>,
     pub conn: ConnId,
     pub frames: frames::Reader,
+    pub heard: bool,
 }
 
 impl Sidecar {
     fn take(&mut self, bytes: &mut &[u8]) -> Result<(), Broken> {
         let conn = self.conn;
         while let Some(frame) = self.frames.next(bytes)? {
+            self.heard = true;
             let fine = self.hub.with(|core, wire, now| match frame {
                 frames::Frame::Rpc(stream, ask, body) => {
                     core.rpc_read(now, Place { conn, stream }, ask, body, wire)
                 }
-                frames::Frame::Odd(stream) => {
-                    core.odd(now, Place { conn, stream }, wire);
-                    true
-                }
+                frames::Frame::Odd(stream) => core.odd(now, Place { conn, stream }, wire),
                 frames::Frame::Gone(stream) => {
                     core.gone(now, Place { conn, stream }, wire);
                     true
@@ -44,7 +43,7 @@
                 }
             });
             if !fine {
-                return Err(Broken("too many streams are open"));
+                return Err(Broken("too many streams are open, or nothing that came could be run"));
             }
         }
         Ok(())
@@ -54,7 +53,7 @@
 impl Peer for Sidecar {
     fn read(&mut self, mut bytes: &[u8]) -> bool {
         let taken = self.take(&mut bytes);
-        self.hub.halfway(self.conn, taken.is_ok() && self.frames.halfway());
+        self.hub.heard(self.conn, self.heard, taken.is_ok() && self.frames.halfway());
         match taken {
             Ok(()) => true,
             Err(broken) => {
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -19,6 +19,7 @@
         "Categories": [
             {"Name": "look", "AimMs": 400, "DeadlineMs": 900, "Effect": "free", "Worth": 1},
             {"Name": "book", "AimMs": 400, "DeadlineMs": 900, "Effect": "single_shot", "Worth": 3}],
+        "Tenants": [{"Name": "acme", "QuotaRps": 1000000}],
         "FamilyInfo": {"Below": "tier", "NCores": 2, "RamKb": 4000, "RunFactor": 4, "Say": "window",
             "StopMode": "abort", "Gauges": ["links", "on_cores"], "FreshMs": 150, "KbPerKey": 1,
             "ClassSkipWorth": [0.5, 0], "IdleMs": 5000, "LingerMs": 50, "Callers": 2},
@@ -54,6 +55,7 @@
     notices: Vec<Told>,
     serving: Vec<bool>,
     closed: Vec<LinkId>,
+    distrusted: Vec<ConnId>,
     left: bool,
     faults: Vec<String>,
     credit: Option<f64>, // as it went with the last answer or check
@@ -157,6 +159,9 @@
         self.closed.push(link);
         true
     }
+    fn distrust(&mut self, conn: ConnId) {
+        self.distrusted.push(conn);
+    }
     fn serving(&mut self, yes: bool) {
         self.serving.push(yes);
     }
@@ -193,7 +198,7 @@
         let id = RpcId::new(&format!("{:016x}", self.next)).unwrap();
         let place = Place { conn: ConnId(conn), stream: StreamId(self.next as u32) };
         let (caller, due) = (CallerId(conn), self.now + patience);
-        let (method, tenant) = (method.to_string(), String::new());
+        let (method, tenant) = (method.to_string(), "acme".to_string());
         let ask = Ask { id, method, tenant, caller, born: self.now - 3 * MS, due, size_kb: 20.0, key };
         let body = format!("body\r\n{}", self.next).into_bytes();
         self.out.bodies.insert(id, body.clone());
@@ -452,6 +457,14 @@
 #[test]
 fn reads_of_one_key_share_a_run_and_each_gets_its_own_answer() {
     let mut w = World::new(3);
+    for conn in 0..3 {
+        w.ask(conn, "look", 900 * MS, Some(9)); // of a connection without a run nothing is shared
+        assert_eq!(w.out.runs.len() as u64, conn + 1);
+        w.play(1, false);
+        w.read_notices(1);
+    }
+    w.pass(200 * MS);
+    w.out.runs.clear();
     let places = [0, 1, 2].map(|conn| w.ask(conn, "look", 900 * MS, Some(9)));
     assert_eq!(w.out.runs.len(), 1);
     w.play(1, false);
@@ -599,6 +612,36 @@
     assert!(w.core.rpc_read(w.now, place, again, b"x", &mut w.out));
     assert_eq!(w.out.answers[&place].0, "aborted");
     assert!(!w.out.answers.contains_key(&first));
+    let mut stranger = w.asks[&first].0.clone();
+    (stranger.id, stranger.tenant) = (RpcId::new("00000000000000fe").unwrap(), "nobody".into());
+    let place = Place { conn: ConnId(2), stream: StreamId(2) };
+    assert!(w.core.rpc_read(w.now, place, stranger, b"x", &mut w.out));
+    assert_eq!((w.out.answers[&place].0, w.out.runs.len()), ("aborted", 1));
+}
+
+#[test]
+fn a_connection_that_brings_only_what_cannot_be_run_is_closed_and_one_with_a_run_between_is_not() {
+    let mut w = World::new(12);
+    for n in 0..8 {
+        w.ask(2, "riddle", 900 * MS, None);
+        if n % 3 == 2 {
+            let fine = w.ask(2, "look", 900 * MS, None);
+            w.play(1, false);
+            w.read_notices(1);
+            assert_eq!(w.out.answers[&fine].0, "ok");
+        }
+    }
+    assert!(w.out.distrusted.is_empty());
+    for n in 0..4 {
+        let unknown = w.ask(3, "look", 900 * MS, None); // the agent refuses it
+        let id = w.asks[&unknown].0.id;
+        assert_eq!(w.out.distrusted.len(), 0, "after {n}");
+        w.core.refused(w.now, Some(id), &mut w.out);
+        assert_eq!(w.out.answers[&unknown].0, "aborted");
+    }
+    assert_eq!(w.out.distrusted, [ConnId(3)]);
+    let after = w.ask(3, "look", 900 * MS, None);
+    assert!(!w.asks.contains_key(&after), "nothing more is taken from it");
 }
 
 #[test]
@@ -619,7 +662,7 @@
     w.pass(500 * MS);
     let (id, place) =
         (RpcId::new("00000000000000ff").unwrap(), Place { conn: ConnId(1), stream: StreamId(1) });
-    let (method, tenant, caller) = ("look".to_string(), String::new(), CallerId(1));
+    let (method, tenant, caller) = ("look".to_string(), "acme".to_string(), CallerId(1));
     let ask = Ask { id, method, tenant, caller, born: 0, due: 1, size_kb: 20.0, key: None };
     w.core.rpc_read(w.now, place, ask, b"", &mut w.out);
     assert_eq!(w.out.answers[&place].0, "pushed back");
--- a/daemon/tests/program.rs
+++ b/daemon/tests/program.rs
@@ -313,6 +313,33 @@
     assert_eq!(ended(child).status.code(), Some(0));
 }
 
+#[test]
+fn who_says_nothing_whole_is_told_or_closed_in_time_and_leaves_room_for_who_asks() {
+    let (listen, config, reports) = stand_ins(false);
+    let child = start("mute", &config.to_string());
+    assert!(reports.recv_timeout(WAIT).unwrap().contains("yes"));
+    let start = Instant::now();
+    let mut asked = connect(listen); // asks once and stays
+    asked.write_all(&ask(1, "0000000000000001", b"body")).unwrap();
+    assert_eq!(next(&mut asked).unwrap().2[0], 0);
+    let mut half = connect(listen);
+    half.write_all(&ask(1, "0000000000000002", b"body")[..40]).unwrap();
+    let mut mute: Vec<TcpStream> = (0..100).map(|_| connect(listen)).collect(); // more than there is room for
+    let mut late = connect(listen);
+    late.write_all(&ask(1, "0000000000000003", b"body")).unwrap();
+    assert_eq!(next(&mut late).unwrap().2[0], 0);
+    assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+    for stream in mute.iter_mut().chain([&mut half]) {
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        stream.read_to_end(&mut Vec::new()).unwrap_or_default(); // an error, or a close alone
+    }
+    assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+    asked.write_all(&ask(2, "0000000000000004", b"body")).unwrap();
+    assert_eq!(next(&mut asked).unwrap().2[0], 0);
+    signal(&child, "TERM");
+    assert_eq!(ended(child).status.code(), Some(0));
+}
+
 #[test]
 fn told_anew_it_goes_over_to_the_new_addresses_and_nothing_else_changes() {
     let notices = Notices::default();
--- a/net/src/socket.rs
+++ b/net/src/socket.rs
@@ -47,7 +47,8 @@
     loop {
         let (mut more, mut starved) = (false, false);
         for _ in 0..READS {
-            if !open {
+            // What comes once a connection is being closed is left unread, so that it never counts as taken.
+            if !open || out.closing() != Close::No {
                 break;
             }
             // No buffer to be had: the sender waits until others have given some back.
--- a/protocol/src/frames.rs
+++ b/protocol/src/frames.rs
@@ -18,7 +18,7 @@
 const LONGEST: usize = 262_144;
 const BODY: usize = 2048;
 const VALUE: usize = 128; // the longest value of a field that is read here
-const GAPS: usize = 1024; // stream numbers left out on one connection
+const GAPS: usize = 128; // stream numbers left out on one connection
 
 /// An RPC as a sidecar sent it.
 #[derive(Clone, Debug, PartialEq)]
@@ -74,6 +74,7 @@
     values: Vec<(&'static str, String)>,
     odd: bool,
     used: Used,
+    highest: StreamId,
     broken: Option<Broken>,
 }
 
@@ -93,13 +94,14 @@
             values: Vec::new(),
             odd: false,
             used: Used::default(),
+            highest: StreamId(0),
             broken: None,
         }
     }
 }
 
-const FIELDS: [&str; 9] =
-    ["route", "trace", "born", "client", "customer", "patience", "size", "entity", "thorough"];
+const FIELDS: [&str; 10] =
+    ["route", "trace", "born", "client", "customer", "patience", "size", "order", "entity", "thorough"];
 
 impl Reader {
     /// In the middle of a frame.
@@ -164,11 +166,15 @@
                 self.odd = false;
                 match self.kind {
                     1 | 4 => {
+                        self.highest = self.highest.max(self.stream);
                         if self.kind == 1 && !self.used.take(self.stream) {
                             return Err(Broken("a stream was used twice"));
                         }
                         self.go(At::Count, 1)
                     }
+                    3 if self.stream > self.highest => {
+                        Err(Broken("a stream that was never used is given up"))
+                    }
                     3 if self.rest == 0 => Ok(self.end()),
                     3 => Err(Broken("a frame of type 3 has a payload")),
                     _ => Err(Broken("a frame's type is not known")),
@@ -245,9 +251,15 @@
 
     fn ask(&self) -> Option<Ask> {
         let id = self.value("trace").filter(|t| t.len() == 16 && t.bytes().all(|b| b.is_ascii_hexdigit()))?;
-        let milliseconds = |name| self.value(name)?.parse::<u64>().ok().filter(|ms| *ms < 1 << 50);
+        let whole =
+            |name| self.value(name).filter(|v| v.bytes().all(|b| b.is_ascii_digit()))?.parse::<u64>().ok();
+        let milliseconds = |name| whole(name).filter(|ms| *ms < 1 << 50);
         let born = milliseconds("born")? * 1000;
+        // The rank is not used, but one out of its range tells of nonsense.
+        let rank = self.value("order").map_or(Some(0.0), |rank| rank.parse::<f64>().ok());
+        rank.filter(|rank| (0.0..1.0).contains(rank))?;
         let key = match self.value("entity") {
+            Some(key) if key.starts_with('+') => return None,
             Some(key) => Some(u64::from_str_radix(key, 16).ok()?),
             None => None,
         };
@@ -255,7 +267,7 @@
             id: RpcId::new(id)?,
             method: self.value("route")?.to_string(),
             tenant: self.value("customer").unwrap_or("").to_string(),
-            caller: CallerId(self.value("client")?.parse().ok()?),
+            caller: CallerId(whole("client")?),
             born,
             due: born + milliseconds("patience")? * 1000,
             size_kb: self.value("size")?.parse().ok().filter(|kb: &f64| *kb > 0.0 && *kb < 2000.0)?,
--- a/protocol/src/tests.rs
+++ b/protocol/src/tests.rs
@@ -52,7 +52,7 @@
     to
 }
 
-const ASK: [(&str, &str); 8] = [
+const ASK: [(&str, &str); 9] = [
     ("route", "look"),
     ("trace", "00000000000000ab"),
     ("born", "1000"),
@@ -61,6 +61,7 @@
     ("patience", "480"),
     ("size", "24.5"),
     ("entity", "7f3a9c21e0b4d655"),
+    ("order", "0.6250"),
 ];
 
 fn rpc(stream: u32, with: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
@@ -128,6 +129,8 @@
     assert!(fault(frame(9, 1, &[0])).contains("type"));
     assert!(fault(frame(1, 1, &[1, 200, b'x'])).contains("fields"));
     assert!(fault([rpc(1, &ASK, b""), rpc(1, &ASK, b"")].concat()).contains("twice"));
+    assert!(fault([rpc(1, &ASK, b""), frame(3, 2, &[])].concat()).contains("never used"));
+    assert_eq!(fault([frame(4, 1, &fields(&[])), frame(3, 1, &[])].concat()), "none");
     assert_eq!(fault([rpc(2, &ASK, b""), rpc(1, &ASK, b""), rpc(3, &ASK, b"")].concat()), "none");
     let mut reader = frames::Reader::default();
     assert!(reader.next(&mut &frame(9, 1, &[])[..]).is_err());
@@ -146,6 +149,12 @@
         (6, "0"),
         (6, "NaN"),
         (7, "g"),
+        (3, "+4"),
+        (7, "+f"),
+        (8, "1"),
+        (8, "-0.1"),
+        (8, "NaN"),
+        (8, "first"),
     ] {
         let mut odd = ASK;
         odd[at].1 = value;
@@ -177,6 +186,19 @@
     let passed = format!("outcome 1 ab PASS 1 {0}\r\n{1}\r\n", BODY + 1, "x".repeat(BODY + 1));
     assert!(feed(&[passed.as_bytes()]).0[0].contains("Aborted"));
     assert!(feed(&[b"request 1 ab 99999999999\r\n"]).1.is_some());
+    // A reply from below that can't be passed on spoils its link at once: it may never come to its end.
+    let (_, below) = MACHINES[2];
+    for spoilt in
+        [format!("ab DONE {}\r\n", BODY + 1), "ab DONE 3000000000\r\n".into(), "ab DONE -1\r\n".into()]
+    {
+        assert!(below(&[spoilt.as_bytes()]).1.is_some(), "{spoilt}");
+    }
+    let mut reader = records::Reader::default();
+    for (piece, halfway) in [("ab DO", true), ("NE 2\r\n", true), ("x", true), ("y\r\n", false), ("", false)]
+    {
+        reader.next(&mut piece.as_bytes()).unwrap();
+        assert_eq!(reader.halfway(), halfway, "after {piece:?}");
+    }
     assert!(feed(&[b"request 1 ab 1\r\nxyz"]).1.is_some());
     assert!(feed(&[b"sampled 1 -2\r\n"]).1.is_some());
     assert!(feed(&[b"greeting MAYBE 1\r\n"]).1.is_some());
