--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -331,6 +331,10 @@
     pub fn proven(&self, conn: ConnId) -> bool {
         self.conns.get(&conn).is_some_and(|standing| standing.proven)
     }
+    /// An answer is owed on a connection.
+    pub fn owes(&self, conn: ConnId) -> bool {
+        self.first_on(conn).is_some() || self.exercise.asking.iter().any(|place| place.conn == conn)
+    }
     /// RPCs that are not over.
     pub fn open(&self) -> usize {
         self.open.len()
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -32,7 +32,36 @@
     leaving: Option<Us>,
 }
 
+/// Of how much use a connection is while it is idle.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Worth {
+    /// It has said nothing, though it had time to.
+    Mute,
+    /// No run was ever made for it.
+    Unproven,
+    /// It may be about to say something.
+    New,
+    /// A sidecar's, whose next RPC may be on its way.
+    Proven,
+}
+
 impl Line {
+    fn worth(&self, proven: bool, now: Us) -> Worth {
+        match (self.heard, proven) {
+            (false, _) if self.since + NEW < now => Worth::Mute,
+            (true, false) => Worth::Unproven,
+            (false, _) => Worth::New,
+            (true, true) => Worth::Proven,
+        }
+    }
+    /// How long it may be quiet once room gets scarce.
+    fn patience(&self) -> Us {
+        if self.heard {
+            QUIET
+        } else {
+            NEW
+        }
+    }
     /// When it last carried something, or came.
     fn used(&self) -> Us {
         self.out.used().max(self.since)
@@ -184,15 +213,13 @@
     }
 
     /// Lets connections go that have carried nothing for as long as was decided, those that stopped in the
-    /// middle of a frame or never said anything whole, and the idlest before there is no room left.
+    /// middle of a frame or never said anything whole, and the least useful before there is no room left.
     pub fn sweep(&self) {
         let now = now();
         let mut inner = self.inner();
         let Inner { core, ports, .. } = &mut *inner;
-        let mut idle = Vec::new();
-        let (mut stuck, mut mute, mut staying) = (Vec::new(), Vec::new(), 0_usize);
+        let (mut stuck, mut mute, mut quiet, mut staying) = (Vec::new(), Vec::new(), Vec::new(), 0_usize);
         for (conn, line) in &mut ports.lines {
-            let owed = core.owed_on(*conn) > 0;
             if line.halfway.is_some_and(|since| since + HALF < now) {
                 line.halfway = None;
                 stuck.push(*conn);
@@ -202,8 +229,9 @@
                 ports.ending.insert(*conn);
             } else if line.leaving.is_none() {
                 staying += 1;
-                let rank = (core.proven(*conn), line.heard, line.used(), *conn);
-                idle.extend(Some(rank).filter(|_| !owed));
+                if line.used().saturating_add(ports.idle) < now && !core.owes(*conn) {
+                    quiet.push(*conn);
+                }
             }
         }
         for (conns, why) in [(stuck, "a frame stopped halfway"), (mute, "nothing whole came")] {
@@ -212,14 +240,17 @@
             }
         }
         ports.finish(core);
-        idle.sort_unstable();
         let over = staying.saturating_sub(ports.room - ports.room / SPARE);
-        for (n, (_, heard, used, conn)) in idle.into_iter().enumerate() {
-            let quiet = if heard { QUIET } else { NEW };
-            if used.saturating_add(if n < over { quiet } else { ports.idle }) < now {
-                core.counters.closed_idle += 1;
-                ports.let_go(conn, now);
-            }
+        if over > quiet.len() {
+            let of = |(conn, line): &(&ConnId, &Line)| (line.worth(core.proven(**conn), now), line.used());
+            let mut others: Vec<_> = ports.lines.iter().filter(|(conn, _)| !core.owes(**conn)).collect();
+            others.retain(|(_, line)| line.leaving.is_none() && line.used() + line.patience() < now);
+            others.sort_by_cached_key(of);
+            quiet = others.into_iter().take(over).map(|(conn, _)| *conn).collect();
+        }
+        for conn in quiet {
+            core.counters.closed_idle += 1;
+            ports.let_go(conn, now);
         }
         for link in (0..ports.below.len()).map(LinkId) {
             let out = &ports.below[link.0];
@@ -234,30 +265,26 @@
         }
     }
 
-    /// There is no room for another connection: one goes at once on which nothing is owed. Nothing more is
-    /// read from it, so what crosses was never taken.
+    /// There is no room for another connection: some go at once on which nothing is owed. Nothing more is read
+    /// from them, so what crosses was never taken. Those of use go one at a time only.
     pub fn crowded(&self) {
         let now = now();
         let mut inner = self.inner();
         let Inner { core, ports, .. } = &mut *inner;
-        // The least useful first: mute; of no run so far; just come; a sidecar's, whose next RPC may be on
-        // its way.
-        let use_of = |conn: ConnId, line: &Line| match (line.heard, core.proven(conn)) {
-            (false, _) if line.since + NEW < now => 0,
-            (true, false) => 1,
-            (false, _) => 2,
-            (true, true) => 3,
-        };
-        let open = ports.lines.iter().filter(|(_, line)| line.leaving.is_none());
-        let idle = open.filter(|(conn, _)| core.owed_on(**conn) == 0);
-        let first =
-            idle.min_by_key(|(conn, line)| (use_of(**conn, line), line.used())).map(|(conn, _)| *conn);
-        if let Some(conn) = first {
-            core.counters.closed_crowded += 1;
-            ports.let_go(conn, now);
-            ports.ending.insert(conn);
-            ports.finish(core);
+        let idle = ports.lines.iter().filter(|(conn, line)| line.leaving.is_none() && !core.owes(**conn));
+        let worth =
+            |(conn, line): (&ConnId, &Line)| (line.worth(core.proven(*conn), now), line.used(), *conn);
+        let mut idle: Vec<(Worth, Us, ConnId)> = idle.map(worth).collect();
+        idle.sort_unstable();
+        let some = (ports.room / SPARE / SPARE).max(1);
+        for (n, (worth, _, conn)) in idle.into_iter().take(some).enumerate() {
+            if n == 0 || worth < Worth::New {
+                core.counters.closed_crowded += 1;
+                ports.let_go(conn, now);
+                ports.ending.insert(conn);
+            }
         }
+        ports.finish(core);
     }
 
     /// All that was answered has been written.
--- a/net/src/listener.rs
+++ b/net/src/listener.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
+const RUSH: usize = 8; // connections taken in before everyone else gets a turn
 const PAUSE: u64 = 50_000; // after a failed accept, and between looks for an idle connection at the cap
 
 /// Room for so many connections. Each holds its place until it is dropped.
@@ -46,6 +47,7 @@
     listener: TcpListener, room: Room, log: Logger, crowded: impl Fn(), took: impl Fn(TcpStream, Place),
 ) {
     room.0 .1.attend();
+    let mut rush = 0;
     loop {
         let stream = match listener.accept() {
             Ok((stream, _)) => stream,
@@ -65,6 +67,9 @@
             }
         };
         took(stream, place);
-        turn(); // what it sends is read before the next one may take its place
+        rush = (rush + 1) % RUSH;
+        if rush == 0 {
+            turn(); // what they send is read before others may take their place
+        }
     }
 }
--- a/net/src/socket.rs
+++ b/net/src/socket.rs
@@ -30,7 +30,9 @@
 const READS: usize = 4; // buffers read in a row before others get their turn
 const STARVED: u64 = 1_000; // between looks for a buffer while none is free
 const GLANCE: Duration = Duration::from_millis(50); // between looks whether a reply is still wanted
+const ENDED: usize = 0x2000; // the flag for an end of the other side
 const GONE: usize = 0x8 | 0x10; // the flags for an error and for a connection closed on both sides
+const READABLE: usize = 0x1 | ENDED | GONE; // the flags that tell of something to read, an end included
 
 /// Drives a connection until it ends.
 pub fn drive(stream: &TcpStream, out: &Outbox, pool: &Pool, peer: &mut dyn Peer) -> End {
@@ -44,11 +46,14 @@
 
 fn pump(stream: &TcpStream, out: &Outbox, pool: &Pool, peer: &mut dyn Peer) -> End {
     let (mut open, mut wanted) = (true, true);
+    // Events come at changes only. It is read when one told of something to read, until less came than there was
+    // room for: what comes after that is a change again. The end of the other side is one that may come with it.
+    let mut events = READABLE;
     loop {
         let (mut more, mut starved) = (false, false);
         for _ in 0..READS {
             // What comes once a connection is being closed is left unread, so that it never counts as taken.
-            if !open || out.closing() != Close::No {
+            if !open || events & READABLE == 0 || out.closing() != Close::No {
                 break;
             }
             // No buffer to be had: the sender waits until others have given some back.
@@ -64,9 +69,12 @@
                     peer.half_closed();
                 }
                 Ok(n) => {
-                    more = true;
+                    more = n == SIZE || events & ENDED != 0;
                     out.touch(now());
                     wanted = wanted && peer.read(&buf[..n]);
+                    if !more {
+                        break;
+                    }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => more = true,
@@ -91,8 +99,11 @@
             wait_until(now() + STARVED);
         } else if more {
             turn();
-        } else if stream.wait_io() & GONE != 0 && !open {
-            return End::Broken;
+        } else {
+            events = stream.wait_io();
+            if events & GONE != 0 && !open {
+                return End::Broken;
+            }
         }
     }
 }
