Open RPCs move into engine, apart from sidecars, the agent and the links below

Need: the core knew sidecar frames, the agent's notices and the links below at once, so no second front fitted. Change: package engine/ owns the module, the open RPCs, wakes, joins and kept results, generic over who asks and how bodies are held; no protocol word in it. What is peculiar stays outside: unproven connections and nonsense (daemon/src/sidecars.rs), notice numbers and sending again (notices.rs), links below (below.rs).

--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -1,5 +1,6 @@
 //! What was taken in, sent and answered since the start.
 
+use asterrill_engine::Counts;
 use std::fmt;
 
 macro_rules! counters {
@@ -81,3 +82,15 @@
     reports,
     reports_lost,
 }
+
+impl Counters {
+    /// Takes in what the engine counted.
+    pub fn take(&mut self, counts: &Counts) {
+        macro_rules! take {
+            ($($name:ident)*) => { $(self.$name += counts.$name;)* };
+        }
+        take!(rpcs no_buffer ok pushed_back aborted gone joined runs runs_ok runs_aborted runs_stopped);
+        take!(runs_not_started calls calls_ok calls_pushed_back calls_aborted calls_timed_out skips wakes);
+        take!(wakes_blind stale late_replies);
+    }
+}
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -2,10 +2,10 @@
 //! outboxes. Nothing here waits, and nothing is decided.
 
 use crate::core::{ConnId, Core, LinkId, Place, Wire};
-use asterrill::{RpcId, Us};
+use asterrill::{Final, RpcId, Us};
 use asterrill_net::{now, Bell, Outbox, Pool};
 use asterrill_protocol::agent::{self, NoticeId};
-use asterrill_protocol::frames::{self, Final, ANSWER_HEAD};
+use asterrill_protocol::frames::{self, ANSWER_HEAD};
 use asterrill_protocol::records;
 use slog::{info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet};
@@ -162,7 +162,7 @@
     pub fn join(&self, out: Outbox) -> ConnId {
         let mut inner = self.inner();
         inner.conns += 1;
-        inner.core.counters.connections += 1;
+        inner.core.counters().connections += 1;
         let conn = ConnId(inner.conns);
         if inner.ports.draining {
             inner.ports.leave(&out);
@@ -175,7 +175,7 @@
     /// A connection has ended.
     pub fn part(&self, conn: ConnId, broken: bool) {
         self.with(|core, wire, now| {
-            core.counters.broken += u64::from(broken);
+            core.counters().broken += u64::from(broken);
             core.conn_ended(now, conn, wire);
         });
         let mut inner = self.inner();
@@ -205,7 +205,7 @@
         let mut inner = self.inner();
         let Inner { core, ports, .. } = &mut *inner;
         match error {
-            Some(why) => core.counters.bad_sidecar += u64::from(ports.end(conn, why)),
+            Some(why) => core.counters().bad_sidecar += u64::from(ports.end(conn, why)),
             None if ports.lines.contains_key(&conn) => drop(ports.ending.insert(conn)),
             None => {}
         }
@@ -236,7 +236,7 @@
         }
         for (conns, why) in [(stuck, "a frame stopped halfway"), (mute, "nothing whole came")] {
             for conn in conns {
-                core.counters.bad_sidecar += u64::from(ports.end(conn, why));
+                core.counters().bad_sidecar += u64::from(ports.end(conn, why));
             }
         }
         ports.finish(core);
@@ -249,14 +249,14 @@
             quiet = others.into_iter().take(over).map(|(conn, _)| *conn).collect();
         }
         for conn in quiet {
-            core.counters.closed_idle += 1;
+            core.counters().closed_idle += 1;
             ports.let_go(conn, now);
         }
         for link in (0..ports.below.len()).map(LinkId) {
             let out = &ports.below[link.0];
             if ports.stalled[link.0].is_some_and(|since| since + STALL < now) {
                 ports.stalled[link.0] = None;
-                core.counters.bad_below += 1;
+                core.counters().bad_below += 1;
                 warn!(ports.log, "a link below is made anew"; "why" => "a reply stopped halfway");
                 out.cut();
             } else if out.used() > 0 && out.used() + BELOW < now && !core.calls_on(link) {
@@ -279,7 +279,7 @@
         let some = (ports.room / SPARE / SPARE).max(1);
         for (n, (worth, _, conn)) in idle.into_iter().take(some).enumerate() {
             if n == 0 || worth < Worth::New {
-                core.counters.closed_crowded += 1;
+                core.counters().closed_crowded += 1;
                 ports.let_go(conn, now);
                 ports.ending.insert(conn);
             }
@@ -296,7 +296,7 @@
         let inner = self.inner();
         let (out, peak) = self.pool.used();
         let (open, owed) = (inner.core.open(), inner.core.owed());
-        format!("{}open={open} owed={owed} buffers={out} buffers_peak={peak}", inner.core.counters)
+        format!("{}open={open} owed={owed} buffers={out} buffers_peak={peak}", inner.core.counted())
     }
 }
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,10 +1,13 @@
 //! asterrilld: one backend. Starts the parts, waits for signals, ends with code 0 after the notice to leave.
 
+mod below;
 mod config;
 mod core;
 mod counters;
 mod hub;
+mod notices;
 mod parties;
+mod sidecars;
 #[cfg(test)]
 mod tests;
 
@@ -221,8 +224,8 @@
 fn reload(hub: &Hub, places: &Places, stop: &mut Us, to: Result<Deployment, Fault>) {
     let fine = to.is_ok();
     hub.with(|core, _, _| {
-        core.counters.reloads += u64::from(fine);
-        core.counters.reloads_failed += u64::from(!fine);
+        core.counters().reloads += u64::from(fine);
+        core.counters().reloads_failed += u64::from(!fine);
     });
     match to {
         Ok(to) => {
--- a/daemon/src/parties.rs
+++ b/daemon/src/parties.rs
@@ -108,7 +108,7 @@
         let taken = self.take(&mut bytes);
         if let Err(broken) = &taken {
             warn!(self.hub.log, "the link to the agent is made anew"; "why" => broken.0);
-            self.hub.with(|core, _, _| core.counters.bad_agent += 1);
+            self.hub.with(|core, _, _| core.counters().bad_agent += 1);
             self.out.cut();
         }
         taken.is_ok()
@@ -155,7 +155,7 @@
                 }),
                 Err(broken) => {
                     warn!(self.hub.log, "a link below is made anew"; "why" => broken.0);
-                    self.hub.with(|core, _, _| core.counters.bad_below += 1);
+                    self.hub.with(|core, _, _| core.counters().bad_below += 1);
                     self.out.cut();
                     return false;
                 }
@@ -208,13 +208,13 @@
                 }
                 Err(broken) => {
                     warn!(hub.log, "a report was lost"; "why" => broken.0);
-                    hub.with(|core, _, _| core.counters.bad_naming += 1);
+                    hub.with(|core, _, _| core.counters().bad_naming += 1);
                     Some(false)
                 }
             });
         hub.with(|core, _, _| {
-            core.counters.reports += u64::from(counts);
-            core.counters.reports_lost += u64::from(!counts);
+            core.counters().reports += u64::from(counts);
+            core.counters().reports_lost += u64::from(!counts);
         });
         kept = done.flatten();
         if counts {
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -2,10 +2,10 @@
 //! rules checked after every step, and plain cases.
 
 use crate::core::{ConnId, Core, LinkId, Place, Wire};
-use asterrill::{CallEnd, CallerId, RpcId, RunEnd, Us};
+use asterrill::{CallEnd, CallerId, Final, RpcId, RunEnd, Us};
 use asterrill_net::Pool;
 use asterrill_protocol::agent::NoticeId;
-use asterrill_protocol::frames::{Ask, Final, StreamId};
+use asterrill_protocol::frames::{Ask, StreamId};
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -451,7 +451,7 @@
     w.read = 0;
     w.read_notices(1);
     w.check();
-    assert_eq!(w.core.counters.stale, 1);
+    assert_eq!(w.core.counted().stale, 1);
 }
 
 #[test]
@@ -485,7 +485,7 @@
     w.out.deaf = true;
     w.pass(310 * MS);
     assert_eq!(w.out.answers[&place].0, "aborted");
-    assert!(w.core.counters.wakes_blind > 0);
+    assert!(w.core.counted().wakes_blind > 0);
 }
 
 #[test]
@@ -502,7 +502,7 @@
     let id = w.asks[&place].0.id;
     let late = first.unwrap();
     w.core.call_ended(w.now, late, id, CallEnd::Ok, b"of the call given up", &mut w.out);
-    assert_eq!(w.core.counters.late_replies, 1);
+    assert_eq!(w.core.counted().late_replies, 1);
     w.pass(900 * MS); // no reply ever comes: it is given up, and the run goes on without
     assert!(w.out.called.is_empty());
     w.check();
@@ -528,7 +528,7 @@
     let (id, link) = before.iter().next().map(|(id, link)| (*id, *link)).unwrap();
     w.out.called.remove(&id);
     w.core.link_ended(w.now, link, false, &mut w.out);
-    assert_eq!((w.core.counters.calls_aborted, w.out.called.len()), (1, 3));
+    assert_eq!((w.core.counted().calls_aborted, w.out.called.len()), (1, 3));
     assert!(w.out.called[&id] != link && before.iter().all(|(i, l)| *i == id || w.out.called[i] == *l));
     w.settle();
 }
@@ -542,7 +542,7 @@
     w.read_notices(1);
     assert!(w.out.called[&id] != first);
     w.core.call_ended(w.now, first, id, CallEnd::Ok, b"of the call before", &mut w.out);
-    assert_eq!(w.core.counters.late_replies, 1);
+    assert_eq!(w.core.counted().late_replies, 1);
     w.reply(0, CallEnd::Ok);
     w.play(1, false);
     w.read_notices(1);
--- /dev/null
+++ b/engine/src/engine.rs
@@ -0,0 +1,571 @@
+//! The table of open RPCs and what becomes of each. No decision about an RPC is taken here: the module is told
+//! what happened, and what it hands back is carried out list by list.
+
+use crate::kept::Kept;
+use crate::outputs::{Counts, Outputs, RouteId};
+use asterrill::{
+    Answer, Arrival, CallEnd, CallerId, Control, Final, Gauges, MethodId, Outcome, RpcId, RunEnd, Us,
+};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::RangeBounds;
+
+const LEAD: Us = 5_000; // gauges are asked for this long before the wake that they are for
+const FRESH: Us = 50_000; // older gauges are not passed on
+const REPLY: Us = 30_000; // beyond the time-out of a call, until its reply is not waited for any more
+
+/// What the engine needs to know of the methods.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// Of each method, in order: an idempotent RPC may share the result of another.
+    pub shares: Vec<bool>,
+    /// How long a read's result may serve others, in microseconds; 0 for never.
+    pub fresh: Us,
+}
+
+/// Makes the copy of a body that is held; none while there is no room for it.
+pub type Hold<B> = Box<dyn Fn(&[u8]) -> Option<B> + Send>;
+
+/// One RPC as a front read it.
+#[derive(Clone, Debug)]
+pub struct Read {
+    pub id: RpcId,
+    pub method: MethodId,
+    pub tenant: Option<usize>,
+    pub caller: CallerId,
+    /// When its caller stops waiting.
+    pub due: Us,
+    /// How long it lay unread here, in microseconds.
+    pub unread: Us,
+    /// Memory taken while it is held, in kB.
+    pub size_kb: f64,
+    /// What a read is about, where told.
+    pub key: Option<u64>,
+    /// It may be joined to another of its key, and others to it.
+    pub shares: bool,
+}
+
+/// The last thing that the executor of a run was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Command<'a> {
+    Launch(MethodId, &'a [u8]),
+    Resume(&'a [u8]),
+    Skip,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sent {
+    Launch,
+    Resume,
+    Skip,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Held,
+    /// Waits for the RPC that it repeats.
+    Joined(RpcId),
+    Running(Sent),
+    /// Off the cores, until a call is placed or left out.
+    AtCall,
+    /// By this way, until then.
+    Calling(RouteId, Us),
+}
+
+/// What the module is told once it has been heard out.
+enum Later {
+    CallRefused(RpcId),
+    JoinEnds(RpcId),
+}
+
+struct Rpc<P, B> {
+    place: P,
+    prior: Option<RpcId>,
+    owed: bool,
+    method: MethodId,
+    stage: Stage,
+    /// Of the RPC until it has been started, then of its call, then the reply to that.
+    body: Option<B>,
+    route: Option<RouteId>, // of its last call
+}
+
+/// See the package's page.
+pub struct Engine<P, B> {
+    control: Control,
+    terms: Terms,
+    hold: Hold<B>,
+    now: Us,
+    open: BTreeMap<RpcId, Rpc<P, B>>,
+    owed: BTreeMap<P, RpcId>,
+    kept: Kept<B>,
+    wakes: BTreeSet<Us>,
+    attended: bool, // gauges can be had
+    sampled: bool,  // for the first of the wakes
+    gauges: Option<(Us, Gauges)>,
+    calls: BTreeSet<(Us, RpcId)>,
+    credit: Option<f64>,
+    kill: Option<Us>,
+    later: VecDeque<Later>,
+    pub counts: Counts,
+}
+
+impl<P: Copy + Ord, B: AsRef<[u8]>> Engine<P, B> {
+    /// `hold` makes the copy of a body that is held, and hands back none while there is no room for it.
+    pub fn new(now: Us, control: Control, terms: Terms, hold: Hold<B>) -> Engine<P, B> {
+        Engine {
+            control,
+            terms,
+            hold,
+            now,
+            open: BTreeMap::new(),
+            owed: BTreeMap::new(),
+            kept: Kept::new(),
+            wakes: BTreeSet::new(),
+            attended: false,
+            sampled: false,
+            gauges: None,
+            calls: BTreeSet::new(),
+            credit: None,
+            kill: None,
+            later: VecDeque::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// The start: the module says what to publish.
+    pub fn start(&mut self, now: Us, out: &mut dyn Outputs<P>) {
+        self.pass(now);
+        let outcome = self.control.started();
+        self.carry(outcome, out);
+    }
+
+    /// The same for a module made anew, before any RPC was read.
+    pub fn restart(&mut self, now: Us, control: Control, terms: Terms, out: &mut dyn Outputs<P>) {
+        (self.control, self.terms) = (control, terms);
+        self.wakes.clear();
+        self.start(now, out);
+    }
+
+    /// From now on the gauges can be had.
+    pub fn attended(&mut self) {
+        self.attended = true;
+    }
+
+    /// The clock may be set back; time here never is. Hands back the time that it is here.
+    pub fn pass(&mut self, now: Us) -> Us {
+        self.now = self.now.max(now);
+        self.now
+    }
+
+    /// An RPC came whole. False if its id is that of an open one: nothing was taken then.
+    pub fn rpc_read(&mut self, now: Us, place: P, read: Read, body: &[u8], out: &mut dyn Outputs<P>) -> bool {
+        self.pass(now);
+        let (id, method) = (read.id, read.method);
+        if self.open.contains_key(&id) || self.owed.contains_key(&place) {
+            return false;
+        }
+        let Some(body) = (self.hold)(body) else {
+            self.counts.no_buffer += 1;
+            self.refuse(now, place, out);
+            return true;
+        };
+        self.counts.rpcs += 1;
+        let shares = read.shares && self.terms.fresh > 0;
+        let shares = shares && self.terms.shares.get(method.0).copied().unwrap_or(false);
+        let key = read.key.filter(|_| shares).map(|key| (method, key));
+        let prior = key.and_then(|key| self.kept.prior(key, self.now));
+        if let Some(key) = key.filter(|_| prior.is_none()) {
+            self.kept.offer(key, id);
+        }
+        let (stage, body) = (Stage::Held, Some(body));
+        self.open.insert(id, Rpc { place, prior, owed: true, method, stage, body, route: None });
+        self.owed.insert(place, id);
+        let arrival = Arrival {
+            id,
+            method,
+            caller: read.caller,
+            due: Some(read.due),
+            size_kb: read.size_kb,
+            unread: read.unread,
+            repeat: false,
+            prior,
+            key: read.key,
+        };
+        let outcome = self.control.rpc_read(self.now, arrival, read.tenant);
+        self.carry(outcome, out);
+        true
+    }
+
+    /// An RPC came that could never be run here: it is aborted at once.
+    pub fn refuse(&mut self, now: Us, place: P, out: &mut dyn Outputs<P>) {
+        self.pass(now);
+        self.counts.rpcs += 1;
+        self.counts.aborted += 1;
+        out.answer(place, Final::Aborted, self.credit);
+    }
+
+    /// Nobody waits for the answer at this place any more. False if none was owed.
+    pub fn gone(&mut self, now: Us, place: P, out: &mut dyn Outputs<P>) -> bool {
+        self.pass(now);
+        let Some(id) = self.owed.remove(&place) else { return false };
+        self.counts.gone += 1;
+        self.settle(id, out);
+        let outcome = self.control.caller_gone(self.now, id);
+        self.carry(outcome, out);
+        true
+    }
+
+    /// The places in a range at which an answer is owed.
+    pub fn owed_in(&self, places: impl RangeBounds<P>) -> impl Iterator<Item = &P> {
+        self.owed.range(places).map(|(place, _)| place)
+    }
+    /// Answers owed in all.
+    pub fn owed(&self) -> usize {
+        self.owed.len()
+    }
+    /// RPCs that are not over.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+    /// The number published to callers, where there is one.
+    pub fn credit(&self) -> Option<f64> {
+        self.credit
+    }
+    /// An answer is owed at this place, and its run was started.
+    pub fn launched(&self, place: P) -> bool {
+        let rpc = self.owed.get(&place).and_then(|id| self.open.get(id));
+        rpc.is_some_and(|rpc| !matches!(rpc.stage, Stage::Held | Stage::Joined(_)))
+    }
+    /// The last thing that the executor of this RPC was told, while its run goes on.
+    pub fn command(&self, id: RpcId) -> Option<Command<'_>> {
+        let rpc = self.open.get(&id)?;
+        let body = rpc.body.as_ref().map_or(&[][..], B::as_ref);
+        match rpc.stage {
+            Stage::Running(Sent::Launch) => Some(Command::Launch(rpc.method, body)),
+            Stage::Running(Sent::Resume) => Some(Command::Resume(body)),
+            Stage::Running(Sent::Skip) => Some(Command::Skip),
+            _ => None,
+        }
+    }
+
+    /// The gauges that were asked for.
+    pub fn sampled(&mut self, now: Us, gauges: Gauges) {
+        self.pass(now);
+        self.gauges = Some((self.now, gauges));
+    }
+
+    /// A run is over.
+    pub fn run_ended(&mut self, now: Us, id: RpcId, end: RunEnd, result: &[u8], out: &mut dyn Outputs<P>) {
+        self.pass(now);
+        let Some(rpc) = self.open.get(&id) else {
+            self.counts.stale += 1;
+            return;
+        };
+        if matches!(end, RunEnd::Ok | RunEnd::Aborted) {
+            out.ran(rpc.place);
+        }
+        match end {
+            RunEnd::Ok => self.counts.runs_ok += 1,
+            RunEnd::Aborted => self.counts.runs_aborted += 1,
+            RunEnd::Stopped => self.counts.runs_stopped += 1,
+            RunEnd::NotStarted => self.counts.runs_not_started += 1,
+        }
+        if let Stage::Calling(route, until) = rpc.stage {
+            self.calls.remove(&(until, id));
+            out.give_up(route, id);
+            out.off(route, false);
+        }
+        let ok = end == RunEnd::Ok;
+        self.answer(id, if ok { Final::Ok(result) } else { Final::Aborted }, out);
+        self.close(id, out);
+        let (hold, until) = (&self.hold, self.now + self.terms.fresh);
+        self.kept.ended(id, until, || Some(result).filter(|_| ok).and_then(hold));
+        let outcome = self.control.run_ended(self.now, id, end);
+        self.carry(outcome, out);
+        for next in self.joined_to(id) {
+            self.end_join(next, Some(result).filter(|_| ok), out);
+        }
+    }
+
+    /// The executor can't run what it was told to launch. Hands back the place, if that was so.
+    pub fn unrunnable(&mut self, now: Us, id: RpcId, out: &mut dyn Outputs<P>) -> Option<P> {
+        let rpc = self.open.get(&id).filter(|rpc| rpc.stage == Stage::Running(Sent::Launch))?;
+        let place = rpc.place;
+        self.run_ended(now, id, RunEnd::NotStarted, &[], out);
+        Some(place)
+    }
+
+    /// The one place where an RPC leaves the table.
+    fn close(&mut self, id: RpcId, out: &mut dyn Outputs<P>) {
+        if self.open.remove(&id).is_some() {
+            out.over(id);
+        }
+    }
+
+    /// The RPCs that wait for this one; only one that is kept has any.
+    fn joined_to(&self, id: RpcId) -> Vec<RpcId> {
+        let joined = self.open.iter().filter(|(_, r)| r.prior == Some(id) && r.stage == Stage::Joined(id));
+        if self.terms.fresh > 0 {
+            joined.map(|(next, _)| *next).collect()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// A joined RPC gets its own answer, with the result of the run that it waited for.
+    fn end_join(&mut self, id: RpcId, result: Option<&[u8]>, out: &mut dyn Outputs<P>) {
+        self.answer(id, result.map_or(Final::Aborted, Final::Ok), out);
+        self.close(id, out);
+        let end = if result.is_some() { RunEnd::Ok } else { RunEnd::Aborted };
+        let outcome = self.control.run_ended(self.now, id, end);
+        self.carry(outcome, out);
+    }
+
+    /// A run waits for a call with this body; none where that is too long to be passed on. False if no run of
+    /// this RPC goes on.
+    pub fn call_needed(&mut self, now: Us, id: RpcId, body: Option<&[u8]>, out: &mut dyn Outputs<P>) -> bool {
+        self.pass(now);
+        let Some(rpc) = self.open.get_mut(&id).filter(|r| matches!(r.stage, Stage::Running(..))) else {
+            self.counts.stale += 1;
+            return false;
+        };
+        rpc.stage = Stage::AtCall;
+        rpc.body = body.and_then(&self.hold);
+        let outcome = self.control.call_needed(self.now, id);
+        self.carry(outcome, out);
+        true
+    }
+
+    /// A reply came from below, by this way.
+    pub fn call_ended(
+        &mut self, now: Us, by: RouteId, id: RpcId, end: CallEnd, reply: &[u8], out: &mut dyn Outputs<P>,
+    ) {
+        self.pass(now);
+        match self.open.get(&id).map(|r| r.stage) {
+            Some(Stage::Calling(route, until)) if route == by => {
+                self.calls.remove(&(until, id));
+                out.off(route, false);
+                self.end_call(id, end, reply, out);
+            }
+            _ => self.counts.late_replies += 1,
+        }
+    }
+
+    /// A way below is gone with all calls on it, which end so.
+    pub fn route_ended(&mut self, now: Us, by: RouteId, end: CallEnd, out: &mut dyn Outputs<P>) {
+        self.pass(now);
+        let on = |r: &Rpc<P, B>| matches!(r.stage, Stage::Calling(route, _) if route == by);
+        let lost: Vec<RpcId> = self.open.iter().filter(|(_, r)| on(r)).map(|(id, _)| *id).collect();
+        for id in lost {
+            self.call_ended(now, by, id, end, &[], out);
+        }
+    }
+
+    fn end_call(&mut self, id: RpcId, end: CallEnd, reply: &[u8], out: &mut dyn Outputs<P>) {
+        let Some(rpc) = self.open.get_mut(&id) else { return };
+        let mut end = end;
+        rpc.stage = Stage::AtCall;
+        if end == CallEnd::Ok {
+            match (self.hold)(reply) {
+                Some(held) => {
+                    (rpc.stage, rpc.body) = (Stage::Running(Sent::Resume), Some(held));
+                    out.resume(id, reply);
+                }
+                None => end = CallEnd::Aborted,
+            }
+        }
+        match end {
+            CallEnd::Ok => self.counts.calls_ok += 1,
+            CallEnd::PushedBack => self.counts.calls_pushed_back += 1,
+            CallEnd::Aborted => self.counts.calls_aborted += 1,
+            CallEnd::TimedOut => self.counts.calls_timed_out += 1,
+        }
+        let outcome = self.control.call_ended(self.now, id, end);
+        self.carry(outcome, out);
+    }
+
+    /// The notice to leave: all is to be answered by `kill`. A second one changes nothing.
+    pub fn drain(&mut self, now: Us, kill: Us, out: &mut dyn Outputs<P>) {
+        self.pass(now);
+        if self.kill.is_some() {
+            return;
+        }
+        self.kill = Some(kill);
+        let outcome = self.control.drain(self.now, kill);
+        self.carry(outcome, out);
+    }
+
+    /// There was a notice to leave.
+    pub fn draining(&self) -> bool {
+        self.kill.is_some()
+    }
+
+    /// The notice to leave has run out, and nothing is owed any more.
+    pub fn left(&self) -> bool {
+        self.kill.is_some_and(|kill| self.now >= kill) && self.owed.is_empty()
+    }
+
+    /// When `tick` is wanted next.
+    pub fn next(&self) -> Option<Us> {
+        let lead = if self.sampled || !self.attended { 0 } else { LEAD };
+        let wake = self.wakes.first().map(|at| at.saturating_sub(lead));
+        let call = self.calls.first().map(|(at, _)| *at);
+        [wake, call, self.kill.filter(|kill| *kill > self.now)].into_iter().flatten().min()
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Us, out: &mut dyn Outputs<P>) {
+        self.pass(now);
+        while let Some((until, id)) = self.calls.first().copied().filter(|(until, _)| *until <= self.now) {
+            self.calls.remove(&(until, id));
+            if let Some(Stage::Calling(route, _)) = self.open.get(&id).map(|r| r.stage) {
+                out.give_up(route, id);
+                out.off(route, true);
+                self.end_call(id, CallEnd::TimedOut, &[], out);
+            }
+        }
+        self.kept.forget_until(self.now);
+        let Some(wake) = self.wakes.first().copied() else { return };
+        if self.attended && !self.sampled && wake <= self.now + LEAD {
+            self.sampled = true;
+            out.sample();
+        }
+        if wake <= self.now {
+            self.wakes = self.wakes.split_off(&(self.now + 1));
+            self.sampled = false;
+            let gauges = self.gauges.take().filter(|(at, _)| at + FRESH > self.now).map(|(_, g)| g);
+            self.counts.wakes += 1;
+            self.counts.wakes_blind += u64::from(gauges.is_none());
+            let outcome = self.control.woken(self.now, gauges.unwrap_or_default());
+            self.carry(outcome, out);
+        }
+    }
+
+    /// Gives the final answer that is owed; nothing if none is.
+    fn answer(&mut self, id: RpcId, answer: Final<'_>, out: &mut dyn Outputs<P>) {
+        let Some(rpc) = self.open.get(&id).filter(|rpc| rpc.owed) else { return };
+        match answer {
+            Final::Ok(_) => self.counts.ok += 1,
+            Final::PushedBack { .. } => self.counts.pushed_back += 1,
+            Final::Aborted => self.counts.aborted += 1,
+        }
+        out.answer(rpc.place, answer, self.credit);
+        self.owed.remove(&rpc.place);
+        self.settle(id, out);
+    }
+
+    /// Nothing is owed for this RPC any more. One that does not run is over; a run ends by itself.
+    fn settle(&mut self, id: RpcId, out: &mut dyn Outputs<P>) {
+        let Some(rpc) = self.open.get_mut(&id) else { return };
+        rpc.owed = false;
+        match rpc.stage {
+            Stage::Held => {
+                self.close(id, out);
+                self.kept.forget(id);
+                let joined = self.joined_to(id);
+                self.later.extend(joined.into_iter().map(Later::JoinEnds));
+            }
+            Stage::Joined(_) => self.close(id, out),
+            Stage::Calling(route, until) => {
+                rpc.stage = Stage::AtCall;
+                self.calls.remove(&(until, id));
+                out.give_up(route, id);
+                out.off(route, false);
+            }
+            _ => {}
+        }
+    }
+
+    /// Carries out what the module decided, list by list in its order.
+    fn carry(&mut self, outcome: Outcome, out: &mut dyn Outputs<P>) {
+        for (id, answer) in outcome.answers {
+            let answer = match answer {
+                Answer::PushedBack { terminal, come_back } => Final::PushedBack { terminal, come_back },
+                Answer::Aborted => Final::Aborted,
+            };
+            self.answer(id, answer, out);
+        }
+        for id in outcome.stops {
+            if self.open.contains_key(&id) {
+                out.stop(id);
+            }
+        }
+        for (id, span) in outcome.keeps {
+            self.kept.keep_until(id, self.now + span);
+        }
+        for id in outcome.forgets {
+            self.kept.forget(id);
+        }
+        for id in outcome.joins {
+            self.join(id);
+        }
+        for id in outcome.runs {
+            let Some(rpc) = self.open.get_mut(&id) else { continue };
+            rpc.stage = Stage::Running(Sent::Launch);
+            self.counts.runs += 1;
+            out.launch(id, rpc.method, rpc.body.as_ref().map_or(&[][..], B::as_ref));
+        }
+        for (id, wait) in outcome.calls {
+            self.call(id, wait, out);
+        }
+        for id in outcome.skips {
+            let Some(rpc) = self.open.get_mut(&id).filter(|rpc| rpc.stage == Stage::AtCall) else { continue };
+            rpc.stage = Stage::Running(Sent::Skip);
+            self.counts.skips += 1;
+            out.skip(id);
+        }
+        self.credit = outcome.credit.or(self.credit);
+        if let Some(healthy) = outcome.health {
+            out.health(healthy);
+        }
+        if let Some(span) = outcome.close_idle {
+            out.close_idle(span);
+        }
+        if let Some(span) = outcome.wake {
+            let at = self.now + span;
+            self.sampled &= self.wakes.first().is_some_and(|first| *first <= at);
+            self.wakes.insert(at);
+        }
+        for line in outcome.log {
+            out.log(&line);
+        }
+        // What came of it at once is told to the module only now, so that nothing older overtakes it.
+        while let Some(later) = self.later.pop_front() {
+            match later {
+                Later::CallRefused(id) => {
+                    if let Some(Stage::Calling(..)) = self.open.get(&id).map(|r| r.stage) {
+                        self.end_call(id, CallEnd::PushedBack, &[], out);
+                    }
+                }
+                Later::JoinEnds(id) => {
+                    let prior = self.open.get(&id).and_then(|r| r.prior);
+                    let kept = prior.and_then(|prior| self.kept.result(prior));
+                    let copy = kept.and_then(|result| (self.hold)(result.as_ref()));
+                    self.end_join(id, copy.as_ref().map(B::as_ref), out);
+                }
+            }
+        }
+    }
+
+    /// Joins an RPC to the one it repeats, which is open or ended a short while ago.
+    fn join(&mut self, id: RpcId) {
+        let Some(prior) = self.open.get(&id).and_then(|r| r.prior) else { return };
+        self.counts.joined += 1;
+        if !self.open.contains_key(&prior) {
+            self.later.push_back(Later::JoinEnds(id));
+        }
+        self.open.entry(id).and_modify(|r| r.stage = Stage::Joined(prior));
+    }
+
+    fn call(&mut self, id: RpcId, wait: Us, out: &mut dyn Outputs<P>) {
+        let Some(rpc) = self.open.get_mut(&id).filter(|rpc| rpc.stage == Stage::AtCall) else { return };
+        self.counts.calls += 1;
+        let until = self.now + wait + REPLY;
+        let by = rpc.body.as_ref().and_then(|body| out.call(rpc.route, id, wait, body.as_ref()));
+        (rpc.stage, rpc.route) = (Stage::Calling(by.unwrap_or(RouteId(usize::MAX)), until), by.or(rpc.route));
+        if by.is_some() {
+            self.calls.insert((until, id));
+        } else {
+            self.later.push_back(Later::CallRefused(id));
+        }
+    }
+}
--- /dev/null
+++ b/engine/src/outputs.rs
@@ -0,0 +1,76 @@
+//! What the engine hands back, and what it counts.
+
+use asterrill::{Final, MethodId, RpcId, Us};
+
+/// The way to the layer below that a call goes by, as the layer's owner numbers them; nothing is read into it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RouteId(pub usize);
+
+/// What the engine has done. Each is carried out at once and nothing here waits.
+pub trait Outputs<P> {
+    /// The one final answer to the RPC that was read at this place. `credit`: the number published to callers,
+    /// where there is one.
+    fn answer(&mut self, to: P, answer: Final<'_>, credit: Option<f64>);
+    /// The RPC is over: nothing is owed, nothing runs. Its id may come again.
+    fn over(&mut self, id: RpcId);
+    /// Start the run of an RPC.
+    fn launch(&mut self, id: RpcId, method: MethodId, body: &[u8]);
+    /// Stop a run; it still ends by [`crate::Engine::run_ended`].
+    fn stop(&mut self, id: RpcId);
+    /// The reply to the call that a run waits for.
+    fn resume(&mut self, id: RpcId, reply: &[u8]);
+    /// A run goes on without the call that it waits for.
+    fn skip(&mut self, id: RpcId);
+    /// A run was made for the RPC read at this place.
+    fn ran(&mut self, at: P);
+    /// Ask for the gauges: [`crate::Engine::sampled`] brings them.
+    fn sample(&mut self);
+    /// Place a call below that is waited for `wait` microseconds. `last`: the way by which the RPC's call before
+    /// went. Hands back the way by which it was sent; none if it surely was not.
+    fn call(&mut self, last: Option<RouteId>, id: RpcId, wait: Us, body: &[u8]) -> Option<RouteId>;
+    /// Nobody waits for this call any more.
+    fn give_up(&mut self, by: RouteId, id: RpcId);
+    /// One call fewer is in hand on this way; `late` if its reply did not come in time.
+    fn off(&mut self, by: RouteId, late: bool);
+    /// The answer to health checks from now on.
+    fn health(&mut self, good: bool);
+    /// Connections idle for this long, in microseconds, are to be closed; 0 once callers are to leave for good.
+    fn close_idle(&mut self, span: Us);
+    /// A line for the operators' log.
+    fn log(&mut self, line: &str);
+}
+
+/// What was read, answered and run since the start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Counts {
+    /// RPCs read, whether they could be taken or not; and of these the ones without a buffer.
+    pub rpcs: u64,
+    pub no_buffer: u64,
+    /// Final answers, and RPCs whose caller left before its answer.
+    pub ok: u64,
+    pub pushed_back: u64,
+    pub aborted: u64,
+    pub gone: u64,
+    /// RPCs that waited for the answer of another.
+    pub joined: u64,
+    /// Runs started, and how they ended.
+    pub runs: u64,
+    pub runs_ok: u64,
+    pub runs_aborted: u64,
+    pub runs_stopped: u64,
+    pub runs_not_started: u64,
+    /// Calls below, how they ended, and those left out.
+    pub calls: u64,
+    pub calls_ok: u64,
+    pub calls_pushed_back: u64,
+    pub calls_aborted: u64,
+    pub calls_timed_out: u64,
+    pub skips: u64,
+    /// Wakes of the module, and those of them without gauges.
+    pub wakes: u64,
+    pub wakes_blind: u64,
+    /// Ends of runs and needs of calls about RPCs that are over.
+    pub stale: u64,
+    /// Replies from below that no call waited for.
+    pub late_replies: u64,
+}
--- a/net/src/pool.rs
+++ b/net/src/pool.rs
@@ -76,6 +76,12 @@
     }
 }
 
+impl AsRef<[u8]> for Buf {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Drop for Buf {
     fn drop(&mut self) {
         let mut bytes = std::mem::take(&mut self.bytes);
--- a/protocol/src/frames.rs
+++ b/protocol/src/frames.rs
@@ -2,7 +2,7 @@
 //! that nobody asked for are passed over as they come.
 
 use crate::Broken;
-use asterrill::{CallerId, RpcId, Us};
+use asterrill::{CallerId, Final, RpcId, Us};
 use std::collections::BTreeSet;
 
 /// A stream's number on its connection.
@@ -299,14 +299,6 @@
     }
 }
 
-/// A final answer, as it goes to a sidecar.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Final<'a> {
-    Ok(&'a [u8]),
-    PushedBack { terminal: bool, come_back: Us },
-    Aborted,
-}
-
 /// Writes a final answer with the number that callers are told.
 pub fn answer(to: &mut Vec<u8>, stream: StreamId, answer: Final<'_>, credit: Option<f64>) {
     let (code, body): (u8, &[u8]) = match answer {
--- a/protocol/src/tests.rs
+++ b/protocol/src/tests.rs
@@ -1,7 +1,8 @@
 //! Every state machine fed its bytes split at every place, byte by byte, and garbage.
 
-use crate::frames::{self, Final, StreamId};
+use crate::frames::{self, StreamId};
 use crate::{agent, naming, records, Broken, BODY};
+use asterrill::Final;
 use asterrill::RpcId;
 use quickcheck::{Gen, QuickCheck};
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -178,6 +178,17 @@
     Aborted,
 }
 
+/// A final answer as it goes to whoever asked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Final<'a> {
+    /// With the result of its run.
+    Ok(&'a [u8]),
+    /// Never run here; whether the caller is asked not to go on elsewhere, and when to come back here.
+    PushedBack { terminal: bool, come_back: Us },
+    /// An error without any assurance.
+    Aborted,
+}
+
 /// What is to be done, in this order of lists.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
