--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -31,7 +31,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-const KEPT_BACK: u64 = 16; // descriptors: 12 are in use without a sidecar or a link below
+const KEPT_BACK: u64 = 16; // descriptors: 13 are in use without a sidecar or a link below
 const BELOW: u64 = 8; // of the descriptors, the share of one in so many for links below
 const LEAST: u64 = 2; // links below, so that a call can go by another than the one before
 const LINE: usize = 192 * 1024; // bytes that may wait for a sidecar: more than all its answers at once
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -30,6 +30,9 @@
     /// Framed RPCs a second
     #[arg(long, global = true, default_value_t = 200.0)]
     rate: f64,
+    /// Another build of asterrilld, for framed-cpu
+    #[arg(long, global = true)]
+    other: Option<std::path::PathBuf>,
     /// Messages, in scenarios that count them
     #[arg(long, global = true)]
     messages: Option<u64>,
@@ -49,6 +52,8 @@
     AmqpOdd,
     /// 100,000 messages ready, with work that costs nothing
     AmqpRate,
+    /// CPU of a framed RPC, this build and another in turns
+    FramedCpu,
 }
 
 impl Scenario {
@@ -60,6 +65,7 @@
             Scenario::AmqpDrain => "amqp-drain",
             Scenario::AmqpOdd => "amqp-odd",
             Scenario::AmqpRate => "amqp-rate",
+            Scenario::FramedCpu => "framed-cpu",
         }
     }
     fn play(self, report: &mut Report, to: &Arguments) -> Result<(), Fault> {
@@ -71,6 +77,7 @@
             Scenario::AmqpDrain => amqp::leave(report, to.seed),
             Scenario::AmqpOdd => amqp::odd(report, to.seed),
             Scenario::AmqpRate => amqp::rate(report, to.seed, to.messages.unwrap_or(100_000)),
+            Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), to.rate, to.other.as_deref()),
         }
     }
 }
