--- /dev/null
+++ b/rollout/src/watch.rs
@@ -0,0 +1,266 @@
+//! Does service drop because of a change?
+//!
+//! Service is the share of criticality that was answered ok within its latency target, with the criticality and
+//! the targets of the version before: a change can't make itself look good by what it says. The window before the
+//! change is the measure; the control is what the old version would have made of the load after it:
+//!
+//! - **A jump in load** is no fault of the change. If the work that comes is more than both what the cores of the
+//!   old version could do and the most that was ever served before, the old version would have lost the excess,
+//!   the least critical first. That much is allowed for, and no more: a bad change during a jump is found by what
+//!   it loses beyond.
+//! - **A slow layer below** is none either: RPCs whose call failed or timed out are left out on both sides. One
+//!   whose call was never placed is not: that may be the change.
+//! - **A few unlucky seconds** are told apart by time: the loss must show in each of the last [`SLOTS`] slots of
+//!   half a second that brought enough to tell, and over all of them be more than chance makes.
+//!
+//! A smaller loss that lasts shows at the end of the probation: then most slots of it must have been bad, so that
+//! one short failure in it does not count.
+//!
+//! The test is of a proportion with weights: undone once loss exceeds what is expected by [`MARGIN`] and by
+//! [`Z`] standard errors, on at least [`LEAST`] RPCs' worth of evidence. Settled when the probation ends; with less
+//! evidence than that it is made longer, [`LONGER`] times at most.
+//!
+//! Harm: a change that costs less than [`MARGIN`] is kept; a change that is applied into the first seconds of
+//! a failure that lasts, and that only this server sees, is undone though it was good.
+
+use crate::Us;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Slots of half a second that must all be bad.
+pub const SLOTS: usize = 6;
+/// Share of criticality that may be lost beyond what is expected.
+pub const MARGIN: f64 = 0.05;
+/// Standard errors that the loss must lie above what is expected.
+pub const Z: f64 = 4.0;
+/// RPCs' worth of evidence before anything is decided.
+pub const LEAST: f64 = 30.0;
+/// Times the probation lasts at the longest while there is too little evidence.
+pub const LONGER: u64 = 3;
+
+const SLOT: Us = 500_000;
+const BEFORE: usize = 40; // slots of the window before
+const FEW: f64 = 3.0; // RPCs in a slot, below which it tells nothing by itself
+const BUSY: f64 = 0.9; // of the cores: work beyond it is more than the old version could do for long
+
+/// What became of the RPCs of each method in a short span, by the old version's targets: asked, ok in time, left
+/// out as their call below failed, and the work of those that came, in microseconds of a core.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Sample {
+    pub methods: BTreeMap<String, Counted>,
+}
+
+/// Of one method.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counted {
+    /// Final answers, and those of them that were ok in time.
+    pub asked: f64,
+    pub in_time: f64,
+    /// Of those not in time, the ones whose call below failed.
+    pub spoilt: f64,
+    /// Work that came, as far as it is known what an RPC takes, in microseconds.
+    pub work: f64,
+}
+
+impl Sample {
+    /// Takes another in.
+    pub fn add(&mut self, other: &Sample) {
+        for (name, counted) in &other.methods {
+            let all = self.methods.entry(name.clone()).or_default();
+            all.asked += counted.asked;
+            all.in_time += counted.in_time;
+            all.spoilt += counted.spoilt;
+            all.work += counted.work;
+        }
+    }
+    fn work(&self) -> f64 {
+        self.methods.values().map(|counted| counted.work).sum()
+    }
+}
+
+/// A loss as a proportion of criticality, and how many RPCs' worth of evidence it stands on.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Loss {
+    pub share: f64,
+    pub evidence: f64,
+}
+
+/// What is to become of the change.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    Wait,
+    /// With the figures that decided: the loss expected, and the loss seen.
+    Undo {
+        expected: Loss,
+        seen: Loss,
+    },
+    Settle {
+        expected: Loss,
+        seen: Loss,
+    },
+}
+
+/// The last slots, kept at all times, so that a change finds its window before.
+#[derive(Clone, Debug, Default)]
+pub struct Before {
+    slots: VecDeque<Sample>,
+    open: Sample,
+    since: Us,
+}
+
+impl Before {
+    /// Takes in what came since the last time.
+    pub fn take(&mut self, now: Us, sample: &Sample) {
+        self.open.add(sample);
+        if now >= self.since.saturating_add(SLOT) {
+            self.since = now;
+            if self.slots.len() >= BEFORE {
+                self.slots.pop_front();
+            }
+            self.slots.push_back(std::mem::take(&mut self.open));
+        }
+    }
+}
+
+/// The watch over one change.
+#[derive(Clone, Debug)]
+pub struct Watch {
+    weights: BTreeMap<String, f64>,
+    /// Work that the old version could do in a second, in microseconds.
+    room: f64,
+    before: Sample,
+    recent: VecDeque<Sample>,
+    /// Over the whole probation: what was seen, what was to be expected as criticality asked and lost, and slots
+    /// that told something, with the bad ones among them.
+    all: Sample,
+    due: (f64, f64),
+    told: (usize, usize),
+    open: Sample,
+    since: Us,
+    start: Us,
+    probation: Us,
+}
+
+impl Watch {
+    /// `weights`: criticality of each method, and `cores`, of the version before.
+    pub fn new(now: Us, before: &Before, weights: BTreeMap<String, f64>, cores: f64, probation: Us) -> Watch {
+        let mut all = before.open.clone();
+        before.slots.iter().for_each(|slot| all.add(slot));
+        let slots = before.slots.iter().map(Sample::work).fold(0.0, f64::max);
+        let room = (cores * 1e6 * BUSY).max(slots * (1_000_000 / SLOT) as f64);
+        Watch {
+            weights,
+            room,
+            before: all,
+            recent: VecDeque::new(),
+            all: Sample::default(),
+            due: (0.0, 0.0),
+            told: (0, 0),
+            open: Sample::default(),
+            since: now,
+            start: now,
+            probation,
+        }
+    }
+
+    /// Takes in what came since the last time.
+    pub fn take(&mut self, now: Us, sample: &Sample) -> Verdict {
+        self.open.add(sample);
+        if now < self.since.saturating_add(SLOT) {
+            return Verdict::Wait;
+        }
+        self.since = now;
+        let slot = std::mem::take(&mut self.open);
+        self.all.add(&slot);
+        let (asked, lost) = self.due(&slot);
+        self.due = (self.due.0 + asked, self.due.1 + lost);
+        if self.loss(&slot).evidence >= FEW {
+            self.told = (self.told.0 + 1, self.told.1 + usize::from(self.bad(&slot)));
+        }
+        if self.recent.len() >= SLOTS {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(slot);
+        self.decide(now)
+    }
+
+    fn decide(&self, now: Us) -> Verdict {
+        let mut recent = Sample::default();
+        self.recent.iter().for_each(|slot| recent.add(slot));
+        let due = self.recent.iter().map(|slot| self.due(slot));
+        let due = due.fold((0.0, 0.0), |all, one| (all.0 + one.0, all.1 + one.1));
+        let (expected, seen) = (self.expected(due), self.loss(&recent));
+        let full = self.recent.len() >= SLOTS && seen.evidence >= LEAST;
+        if full && self.more(expected, seen) && self.recent.iter().all(|slot| self.bad(slot)) {
+            return Verdict::Undo { expected, seen };
+        }
+        let passed = now.saturating_sub(self.start);
+        if passed < self.probation {
+            return Verdict::Wait;
+        }
+        let (expected, seen) = (self.expected(self.due), self.loss(&self.all));
+        if seen.evidence < LEAST && passed < self.probation.saturating_mul(LONGER) {
+            return Verdict::Wait;
+        }
+        // A small loss that lasted for all of the probation shows only now.
+        if seen.evidence >= LEAST && self.more(expected, seen) && self.told.1 * 2 > self.told.0 {
+            return Verdict::Undo { expected, seen };
+        }
+        Verdict::Settle { expected, seen }
+    }
+
+    fn more(&self, expected: Loss, seen: Loss) -> bool {
+        // At the least one loss in a hundred is taken for chance: a window without any proves little.
+        let p = ((expected.share + seen.share) / 2.0).clamp(0.01, 0.99);
+        let error =
+            (p * (1.0 - p) * (1.0 / seen.evidence.max(1.0) + 1.0 / expected.evidence.max(1.0))).sqrt();
+        seen.share > expected.share + MARGIN.max(Z * error)
+    }
+
+    /// A slot is bad by itself; one that brought too little is neither.
+    fn bad(&self, slot: &Sample) -> bool {
+        let seen = self.loss(slot);
+        seen.evidence < FEW || seen.share > self.expected(self.due(slot)).share + MARGIN / 2.0
+    }
+
+    fn weight(&self, name: &str) -> f64 {
+        self.weights.get(name).copied().unwrap_or(0.0)
+    }
+
+    /// The share of criticality that was not answered in time, without what was spoilt below.
+    fn loss(&self, sample: &Sample) -> Loss {
+        let (mut all, mut lost, mut squares) = (0.0, 0.0, 0.0);
+        for (name, counted) in &sample.methods {
+            let (weight, asked) = (self.weight(name), (counted.asked - counted.spoilt).max(0.0));
+            all += weight * asked;
+            lost += weight * (asked - counted.in_time).max(0.0);
+            squares += weight * weight * asked;
+        }
+        let evidence = if squares > 0.0 { all * all / squares } else { 0.0 };
+        Loss { share: if all > 0.0 { lost / all } else { 0.0 }, evidence }
+    }
+
+    /// What the old version would have lost of a slot's load: as before, and what is beyond its room, the least
+    /// critical first. As criticality asked, and lost of it.
+    fn due(&self, sample: &Sample) -> (f64, f64) {
+        let mut room = self.room * SLOT as f64 / 1e6;
+        let mut order: Vec<(&String, &Counted)> = sample.methods.iter().collect();
+        order.sort_by(|a, b| self.weight(b.0).total_cmp(&self.weight(a.0)));
+        let (mut all, mut lost) = (0.0, 0.0);
+        for (name, counted) in order {
+            let fits = if counted.work > 0.0 { (room / counted.work).clamp(0.0, 1.0) } else { 1.0 };
+            room -= counted.work * fits;
+            let before = self.before.methods.get(name).copied().unwrap_or_default();
+            let asked = (before.asked - before.spoilt).max(0.0);
+            let usual = if asked > 0.0 { ((asked - before.in_time) / asked).clamp(0.0, 1.0) } else { 0.0 };
+            let weight = self.weight(name) * (counted.asked - counted.spoilt).max(0.0);
+            all += weight;
+            lost += weight * (1.0 - (1.0 - usual) * fits);
+        }
+        (all, lost)
+    }
+
+    fn expected(&self, (all, lost): (f64, f64)) -> Loss {
+        let evidence = self.loss(&self.before).evidence;
+        Loss { share: if all > 0.0 { lost / all } else { 0.0 }, evidence }
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -73,7 +73,10 @@
     served: f64,      // serving time before that
     penalty: f64,     // congestion_penalty before that, without its factor
     answered: bool,
-    tries: u32, // failures left for its call
+    tries: u32,     // failures left for its call
+    effect: Effect, // these three as they were when it was read
+    skip_share: f64,
+    booked: f64,
 }
 
 /// On the cores: of each band of criticality a count, and the integral of parallel_reqs, bands above
@@ -491,7 +494,7 @@
     pub fn call_ended(&mut self, now: Us, id: RpcId, end: CallEnd) -> Outcome {
         self.after(now, |c| {
             let Some(r) = c.rpcs.get_mut(&id).filter(|r| r.stage == Stage::Calling) else { return };
-            let again = c.methods[r.a.method.0].effect == Effect::Idempotent || end == CallEnd::PushedBack;
+            let again = r.effect == Effect::Idempotent || end == CallEnd::PushedBack;
             r.tries = if again { r.tries - 1 } else { 0 };
             c.calls.ended(c.now, id, end, c.chance.generate::<f64>());
             if end == CallEnd::Ok {
@@ -517,6 +520,45 @@
         })
     }
 
+    /// Other settings from now on, all at once: those of `fresh`. Its methods stand at these places here, known ones
+    /// at theirs and new ones after the last; the tenants that were known before at `tenants`. Methods that are not
+    /// named are over, but stay for what is in hand. Accounts, learned costs, target, breaker, and the terms under
+    /// which each RPC was read go on.
+    pub fn change(
+        &mut self, now: Us, fresh: Control, methods: &[usize], tenants: &[Option<usize>],
+    ) -> Outcome {
+        self.after(now, |c| {
+            c.methods.iter_mut().for_each(|m| m.criticality = 0.0);
+            for ((method, cost), at) in fresh.methods.into_iter().zip(fresh.costs).zip(methods) {
+                match c.methods.get_mut(*at) {
+                    Some(known) => *known = method,
+                    None => {
+                        c.methods.push(method);
+                        c.costs.push(cost);
+                    }
+                }
+            }
+            let (target, calls, grace) = (fresh.target, fresh.calls, fresh.drain.grace);
+            c.target.target *= target.cores / c.target.cores;
+            (c.target.cores, c.target.tip) = (target.cores, target.tip);
+            (c.calls.bound, c.calls.window, c.calls.linger) = (calls.bound, calls.window, calls.linger);
+            (c.calls.pause, c.calls.mean.span) = (calls.pause, calls.mean.span);
+            (c.keys.kb, c.keys.fresh) = (fresh.keys.kb, fresh.keys.fresh);
+            (c.memory.ram, c.memory.factor) = (fresh.memory.ram, fresh.memory.factor);
+            c.drain.grace = grace;
+            (c.credit.say, c.credit.come_back) = (fresh.credit.say, fresh.credit.come_back);
+            (c.credit.fine, c.credit.longest) = (fresh.credit.fine, fresh.credit.longest);
+            c.credit.idle = c.credit.idle.min(c.credit.longest);
+            let before = std::mem::replace(&mut c.shares, fresh.shares);
+            for (share, known) in c.shares.rates.iter_mut().zip(tenants) {
+                let room = known.and_then(|at| before.rates.get(at));
+                (share.1, share.2) = room.map_or((share.1, c.now), |room| (room.1, room.2));
+            }
+            (c.step, c.stop_mode, c.accounts.span) = (fresh.step, fresh.stop_mode, fresh.accounts.span);
+            c.accounts.share_out(c.now, c.target.target, &c.costs);
+        })
+    }
+
     /// A wake asked for has come.
     pub fn woken(&mut self, now: Us, gauges: Gauges) -> Outcome {
         self.after(now, |c| {
@@ -585,12 +627,13 @@
         };
         // A repeat waits for the one it repeats. That one may have run, so a repeat is never pushed back.
         let joins = a.prior.is_some() && m.effect != Effect::NonIdempotent;
+        let (effect, skip_share, booked) = (m.effect, m.skip_share, a.size_kb);
         let (caller, stage) = (a.caller, if joins { Stage::Joined } else { Stage::Held });
         self.memory.used += a.size_kb;
         #[rustfmt::skip]
         self.rpcs.insert(id, Rpc {
             a, stage, place, due, last_good, alarm: Us::MAX, work, taken: 0.0, since: (now, 0.0), served: 0.0,
-            penalty: 0.0, answered: false, tries: TRIES,
+            penalty: 0.0, answered: false, tries: TRIES, effect, skip_share, booked,
         });
         if joins {
             let room = now < due && self.memory.fits(self.keys.used(), 0.0);
@@ -679,7 +722,7 @@
         let Some(r) = self.rpcs.remove(&id) else { return };
         self.alarms.remove(&(r.alarm, id));
         self.hold.drop(r.place, r.work);
-        self.memory.used -= r.a.size_kb;
+        self.memory.used -= r.booked;
         if r.taken > 0.0 {
             self.accounts.correct(self.now, r.a.caller, r.taken, 0.0, 0.0);
         }
@@ -701,7 +744,7 @@
         }
         self.answered(id);
         let Some(r) = self.rpcs.remove(&id) else { return };
-        self.memory.used -= r.a.size_kb * self.memory.factor;
+        self.memory.used -= r.booked;
         // A quick failure spent what it was taken for: it must not refill the account.
         let real_cost = if end == RunEnd::Aborted { r.taken } else { r.served * 1e3 };
         self.accounts.correct(self.now, r.a.caller, r.taken, real_cost, r.penalty * PENALTY);
@@ -770,7 +813,7 @@
     }
 
     fn skippable(&self, r: &Rpc) -> bool {
-        self.methods[r.a.method.0].skip_share > 0.0 && self.now < r.last_good
+        r.skip_share > 0.0 && self.now < r.last_good
     }
 
     /// A call is placed within the bound; it is skipped, or the RPC given up, once calling has no prospect.
@@ -809,6 +852,7 @@
             return false;
         }
         self.memory.used += more;
+        self.rpcs.entry(place.3).and_modify(|r| r.booked += more);
         self.hold.drop(place, work);
         self.on_cores(place.3);
         self.out.runs.push(place.3);
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -705,3 +705,89 @@
     let (many, part) = credit(40);
     assert!(part < 0.2 && many < 1.3 * part, "{many} of {part}");
 }
+
+/// A module with one method more or less, other cores, memory and tenants, for `change`.
+mod changes {
+    use crate::*;
+
+    const MS: Us = 1_000;
+
+    fn made(now: Us, criticality: &[f64], cores: usize, ram: f64) -> Control {
+        with(now, criticality, cores, ram, 2.0)
+    }
+    fn with(now: Us, criticality: &[f64], cores: usize, ram: f64, factor: f64) -> Control {
+        let method = |criticality: &f64| Method {
+            latency_target: 400 * MS,
+            deadline: 900 * MS,
+            effect: Effect::Idempotent,
+            criticality: *criticality,
+            late_share: 0.0,
+            window: 0,
+            skip_share: 0.5,
+        };
+        Control::new(
+            now,
+            3,
+            4 * MS,
+            StopMode::Abort,
+            criticality.iter().map(method).collect(),
+            Accounts::new(400 * MS, 1),
+            Target::new(now, cores, 8.0, 1.0, 1),
+            Calls::new(Below::Tier, cores, 0, 400 * MS),
+            Keys::new(0.0, 0),
+            Memory::new(ram, factor),
+            Drain::new(400 * MS),
+            Credit::new(Say::Credit, 0, 400 * MS, 0),
+            Shares::new(&[1.0], 1, 0.5),
+        )
+    }
+    fn ask(c: &mut Control, now: Us, n: u64, method: usize) -> Outcome {
+        let (id, caller) = (RpcId::of(n), CallerId(n % 2));
+        let (method, due) = (MethodId(method), Some(now + 900 * MS));
+        let arrival = Arrival {
+            id,
+            method,
+            caller,
+            due,
+            size_kb: 10.0,
+            unread: 0,
+            repeat: false,
+            prior: None,
+            key: None,
+        };
+        c.rpc_read(now, arrival, Some(0))
+    }
+
+    #[test]
+    fn a_change_keeps_what_runs_and_is_held_and_counts_from_the_next_rpc_on() {
+        let mut c = made(0, &[1.0, 2.0], 1, 1_000.0);
+        assert_eq!(ask(&mut c, 0, 1, 0).runs, [RpcId::of(1)]);
+        assert!(ask(&mut c, 0, 2, 1).runs.is_empty());
+        // Four cores, and a method more in front: the known ones stay at their places.
+        let out = c.change(MS, made(MS, &[9.0, 1.0, 2.0], 4, 1_000.0), &[2, 0, 1], &[Some(0)]);
+        assert_eq!(out.runs, [RpcId::of(2)], "there is room for what was held");
+        assert!(ask(&mut c, 2 * MS, 3, 2).runs == [RpcId::of(3)]);
+        // Back to one method: what runs of the others is finished and given back like any other.
+        let out = c.change(3 * MS, made(3 * MS, &[2.0], 1, 1_000.0), &[1], &[Some(0)]);
+        assert!(out.answers.is_empty() && out.stops.is_empty());
+        for n in 1..=3 {
+            assert!(c.run_ended(10 * MS, RpcId::of(n), RunEnd::Ok).answers.is_empty());
+        }
+        assert_eq!(ask(&mut c, 11 * MS, 4, 1).runs, [RpcId::of(4)]);
+    }
+
+    #[test]
+    fn memory_is_given_back_as_it_was_booked_whatever_was_changed_meanwhile() {
+        let mut c = made(0, &[1.0], 8, 100.0); // room for 80 kB: four that run
+        for n in 0..3 {
+            assert_eq!(ask(&mut c, 0, n, 0).runs.len(), 1);
+        }
+        c.change(MS, with(MS, &[1.0], 8, 100.0, 8.0), &[0], &[Some(0)]);
+        for n in 0..3 {
+            c.run_ended(2 * MS, RpcId::of(n), RunEnd::Ok);
+        }
+        // All of it is free again: one that takes the whole of 80 kB by the new factor runs.
+        assert_eq!(ask(&mut c, 3 * MS, 9, 0).runs.len(), 1);
+        assert!(ask(&mut c, 3 * MS, 10, 0).runs.is_empty(), "and no second one");
+    }
+}
