Changes while serving: property test, crash points of the store, the command line's tests

Need: each hard case of the issue wants a test that causes it. Change: the core's property test now brings versions into force at random (methods reordered, removed, added; memory, cores, run factor); what a process starts with is a pure function, tested for every crash point; asterrill's exit codes and messages; the watch takes excess load evenly.

--- /dev/null
+++ b/cli/tests/cli.rs
@@ -0,0 +1,110 @@
+//! The command line on files and against a control socket that a test plays.
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Write};
+use std::os::unix::net::UnixListener;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn config() -> Value {
+    json!({"name": "n", "listen": "127.0.0.1:1", "agent": "127.0.0.1:1", "naming": "127.0.0.1:1", "seed": "1",
+        "stop_ms": 900, "limits": {"memory_mb": 32, "sockets": 64}, "settings": {
+        "Categories": [{"Name": "look", "AimMs": 400, "DeadlineMs": 900, "Effect": "free", "Worth": 1}],
+        "FamilyInfo": {"NCores": 2, "RamKb": 9000, "Below": "off"}, "Limits": {},
+        "Safety": {"TipMultiple": 8, "ColdFrom": 1, "RampTimeMs": 1, "StopSendingWithinMs": 9}}})
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("asterrill-cli-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn run(arguments: &[&str]) -> (Option<i32>, String) {
+    let program = env!("CARGO_BIN_EXE_asterrill");
+    let Output { status, stdout, stderr } =
+        Command::new(program).args(arguments).env_remove("ASTERRILL_SOCKET").output().unwrap();
+    (status.code(), String::from_utf8_lossy(&[stdout, stderr].concat()).into_owned())
+}
+
+#[test]
+fn check_names_what_is_wrong_and_says_so_by_its_exit_code() {
+    let fine = file("fine", &config().to_string());
+    let (code, said) = run(&["check", fine.to_str().unwrap(), "--json"]);
+    assert!(code == Some(0) && said.contains(r#""kind":"configuration""#), "{said}");
+    let mut wrong = config();
+    wrong["settings"]["Categories"][0]["DeadlineMs"] = json!(300);
+    let wrong = file("wrong", &wrong.to_string());
+    let (code, said) = run(&["check", wrong.to_str().unwrap()]);
+    assert!(
+        code == Some(1) && said.contains("its deadline of 300 ms is under its latency target of 400 ms"),
+        "{said}"
+    );
+    let conf = file("conf", "[broker]\nheartbeat 10");
+    let (code, said) = run(&["check", conf.to_str().unwrap()]);
+    assert!(code == Some(1) && said.contains("conf:2: heartbeat wants a time"), "{said}");
+    let (code, said) = run(&["check", "/nowhere"]);
+    assert!(code == Some(1) && said.contains("/nowhere: No such file"), "{said}");
+    assert_eq!(run(&["frobnicate"]).0, Some(2));
+}
+
+#[test]
+fn diff_tells_meaning_not_text() {
+    let old = file("old", &config().to_string());
+    let same = file("same", &serde_json::to_string_pretty(&config()).unwrap());
+    assert_eq!(run(&["diff", old.to_str().unwrap(), same.to_str().unwrap()]), (Some(0), String::new()));
+    let mut new = config();
+    new["settings"]["Categories"][0]["AimMs"] = json!(250);
+    new["settings"]["FamilyInfo"]["NCores"] = json!(4);
+    new["settings"]["Tenants"] = json!([{"Name": "nile", "QuotaRps": 5}]);
+    let new = file("new", &new.to_string());
+    let (code, said) = run(&["diff", old.to_str().unwrap(), new.to_str().unwrap()]);
+    let lines: Vec<&str> = said.lines().collect();
+    let wanted = [
+        "cores: 2 -> 4",
+        "method look: latency target: 400 ms -> 250 ms",
+        "tenant nile: RPCs a second: 0 -> 5",
+    ];
+    assert_eq!((code, &lines[..]), (Some(1), &wanted[..]));
+}
+
+#[test]
+fn what_is_asked_of_the_daemon_goes_over_the_socket_and_its_no_is_an_exit_code() {
+    let path = std::env::temp_dir().join(format!("asterrill-cli-{}-socket", std::process::id()));
+    std::fs::remove_file(&path).unwrap_or_default();
+    let socket = path.to_str().unwrap();
+    let (code, said) = run(&["status", "--socket", socket]);
+    assert!(code == Some(3) && said.contains("No such file"), "{said}");
+    assert_eq!(run(&["status"]).0, Some(2));
+    let listener = UnixListener::bind(&path).unwrap();
+    let served = std::thread::spawn(move || {
+        let mut asked = Vec::new();
+        for told in [json!({"ok": true, "version": 3}), json!({"ok": false, "error": "nothing is staged"})] {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut line = String::new();
+            BufReader::new(stream.try_clone().unwrap()).read_line(&mut line).unwrap();
+            asked.push(serde_json::from_str::<Value>(&line).unwrap());
+            stream.write_all(format!("{told}\n").as_bytes()).unwrap();
+        }
+        asked
+    });
+    let conf = file("staged", "[broker]\n");
+    let stage = ["stage", conf.to_str().unwrap(), "--base", "2", "--force", "--socket", socket];
+    assert_eq!(run(&stage), (Some(0), "version: 3\n".into()));
+    let apply = ["apply", "--if-base", "2", "--probation", "90s", "--socket", socket, "--json"];
+    let (code, said) = run(&apply);
+    assert!(code == Some(1) && said.contains("nothing is staged"), "{said}");
+    let asked = served.join().unwrap();
+    let staged =
+        json!({"v": 1, "do": "stage", "text": "[broker]\n", "base": 2, "force": true, "queue": false});
+    assert_eq!(asked, [staged, json!({"v": 1, "do": "apply", "if_base": 2, "probation_us": 90_000_000})]);
+    std::fs::remove_file(path).unwrap();
+}
+
+#[test]
+fn completion_and_manual_are_printed() {
+    let (code, said) = run(&["completion", "bash"]);
+    assert!(code == Some(0) && said.contains("asterrill"));
+    let (code, said) = run(&["man"]);
+    assert!(code == Some(0) && said.contains(".TH asterrill"));
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -25,6 +25,7 @@
 use asterrill_conf::{File, Form};
 use asterrill_net::{drive, hold, listen, now, spawn, wait_until, Address, End, Outbox, Pause, Pool, Room};
 use asterrill_protocol::{agent, frames, records};
+use asterrill_rollout::{start_with, Start};
 use asterrill_settings::{Deployment, Fault};
 use nanorand::{Rng, WyRand};
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
@@ -266,31 +267,20 @@
     let Some(dir) = told.file.changes.state.clone() else { return Ok((told, 1, Vec::new())) };
     std::fs::create_dir_all(&dir).unwrap_or_default(); // one that can't be made shows when it is written
     let found = store::find(&dir, log);
-    let Some(good) = found.good else { return Ok((told, 1, Vec::new())) };
-    let now = told.text();
-    if now == good.text {
-        return Ok((told, good.number, good.undone));
-    }
-    let on_probation = found.probation.filter(|p| p.number != good.number && p.text == now);
-    let hash = asterrill_rollout::hash(&now);
-    let undone = good.undone.iter().any(|(known, _)| *known == hash);
-    if on_probation.is_none() && !undone {
-        return Ok((told, good.number + 1, good.undone));
-    }
-    let why = if undone { "what was told had been undone" } else { "what was told was on probation" };
-    match Content::parse(&good.text) {
-        Ok(content) => {
-            info!(log, "started on the last good version"; "version" => good.number, "why" => why);
-            (to.server, to.memory_mb, to.sockets) =
-                (content.settings.clone(), content.memory_mb, content.sockets);
-            let mut undone = good.undone;
-            undone.extend(on_probation.map(|p| (hash, p.number)));
-            Ok((content, good.number, undone))
-        }
-        Err(fault) => {
-            warn!(log, "the last good version can't be used"; "why" => %fault);
-            Ok((told, good.number + 1, good.undone))
-        }
+    match start_with(&told.text(), found.good, found.probation) {
+        Start::Told { number, undone } => Ok((told, number, undone)),
+        Start::Good { good, why } => match Content::parse(&good.text) {
+            Ok(content) => {
+                info!(log, "started on the last good version"; "version" => good.number, "why" => why);
+                (to.server, to.memory_mb, to.sockets) =
+                    (content.settings.clone(), content.memory_mb, content.sockets);
+                Ok((content, good.number, good.undone))
+            }
+            Err(fault) => {
+                warn!(log, "the last good version can't be used"; "why" => %fault);
+                Ok((told, good.number + 1, good.undone))
+            }
+        },
     }
 }
 
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -184,6 +184,7 @@
     read: usize,                        // notices that were read
     next: u64,
     killed: Option<Us>,
+    version: u64,
 }
 
 impl World {
@@ -194,7 +195,7 @@
         core.start(START, &mut out);
         core.agent_link();
         core.agent_up(START, None, &mut out);
-        World { core, out, now: START, asks: BTreeMap::new(), read: 0, next: 0, killed: None }
+        World { core, out, now: START, asks: BTreeMap::new(), read: 0, next: 0, killed: None, version: 1 }
     }
 
     fn ask(&mut self, conn: u64, method: &str, patience: Us, key: Option<u64>) -> Place {
@@ -326,6 +327,29 @@
         self.core.gone(self.now, place, &mut self.out);
     }
 
+    /// Another version comes into force: methods in another order, one less, other memory and cores.
+    fn change(&mut self, n: usize) {
+        let mut settings = server();
+        let methods = settings["Categories"].as_array_mut().unwrap();
+        match n % 4 {
+            0 => {}
+            1 => methods.reverse(),
+            2 => drop(methods.pop()),
+            _ => methods.insert(
+                0,
+                json!({"Name": "more", "AimMs": 100, "DeadlineMs": 200, "Effect": "free", "Worth": 9}),
+            ),
+        }
+        settings["FamilyInfo"]["NCores"] = json!(1 + n % 3);
+        settings["FamilyInfo"]["RamKb"] = json!(2_000 + 500 * (n % 5));
+        settings["FamilyInfo"]["RunFactor"] = json!(2 + n % 4);
+        settings["FamilyInfo"]["ClassSkipWorth"] = json!([]);
+        self.version += 1;
+        let made = asterrill_settings::server(self.now, 1, &settings, None).unwrap();
+        self.core.change(self.now, made, Vec::new(), self.version, &mut self.out).unwrap();
+        let _ = self.core.served();
+    }
+
     fn step(&mut self, what: u8, n: usize) {
         match what % 16 {
             0..=3 => {
@@ -354,6 +378,7 @@
             }
             12 if n % 3 == 0 => self.out.deaf = true,
             12 => self.link_up(),
+            11 if n % 4 == 1 => self.change(n / 4),
             13 if n % 8 == 0 => {
                 let link = LinkId(n / 8 % 4);
                 self.out.called.retain(|_, on| *on != link);
@@ -399,6 +424,7 @@
             self.check();
         }
         assert_eq!((self.core.owed(), self.core.open()), (0, 0));
+        assert_eq!(self.core.counted().half_applied, 0);
     }
 }
 
@@ -687,3 +713,109 @@
     assert_eq!(w.out.answers[&place].0, "aborted");
     assert!(w.core.left());
 }
+
+#[test]
+fn an_rpc_of_a_method_that_is_removed_still_gets_its_answer_and_new_ones_are_aborted() {
+    let mut w = World::new(31);
+    let held: Vec<Place> = (0..6).map(|n| w.ask(n, "book", 900 * MS, None)).collect();
+    let running = w.out.runs.len();
+    assert!(running < 6);
+    w.play(0, true); // one of them waits for a call
+    w.read_notices(1);
+    w.change(2); // "book" is gone
+    let late = w.ask(9, "book", 900 * MS, None);
+    assert_eq!(w.out.answers[&late].0, "aborted");
+    w.reply(0, CallEnd::Ok);
+    while w.out.runs.values().any(|run| !run.over) {
+        w.play(1, false);
+        w.read_notices(usize::MAX);
+    }
+    w.check();
+    let ok = held.iter().filter(|place| w.out.answers.get(place).is_some_and(|a| a.0 == "ok")).count();
+    assert!(ok >= running, "{ok} of {running}");
+    w.change(0); // it is back, at its place, with what was learned of it
+    let again = w.ask(10, "book", 900 * MS, None);
+    w.play(1, false);
+    w.read_notices(usize::MAX);
+    assert_eq!(w.out.answers[&again].0, "ok");
+    w.settle();
+}
+
+#[test]
+fn a_change_before_the_agent_is_up_and_one_while_its_link_is_away_are_kept() {
+    let made = asterrill_settings::server(START, 1, &server(), None).unwrap();
+    let (mut core, mut out) = (Core::new(START, made, Pool::new(500), 4), Out::default());
+    core.start(START, &mut out);
+    let mut settings = server();
+    settings["Categories"].as_array_mut().unwrap().pop();
+    let made = asterrill_settings::server(START, 1, &settings, None).unwrap();
+    core.change(START, made, Vec::new(), 2, &mut out).unwrap();
+    // The agent's greeting brings a module made anew from the first settings: too late for those.
+    let stale = asterrill_settings::server(START, 1, &server(), Some(true)).unwrap();
+    core.agent_link();
+    core.agent_up(START, Some(stale), &mut out);
+    let place = Place { conn: ConnId(1), stream: StreamId(1) };
+    let (id, caller) = (RpcId::new("00000000000000aa").unwrap(), CallerId(1));
+    let (method, tenant, due) = ("book".to_string(), "acme".to_string(), START + 900 * MS);
+    let ask = Ask { id, method, tenant, caller, born: START, due, size_kb: 20.0, key: None };
+    core.rpc_read(START, place, ask, b"", &mut out);
+    assert_eq!(out.answers[&place].0, "aborted", "the version that runs does not know it");
+    let mut w = World::new(32);
+    w.out.deaf = true;
+    let place = w.ask(1, "look", 900 * MS, None);
+    w.change(1);
+    w.link_up();
+    w.play(1, false);
+    w.read_notices(usize::MAX);
+    assert_eq!(w.out.answers[&place].0, "ok", "launched under the name that it was read with");
+}
+
+/// `cargo test --release -p asterrill-daemon cost -- --ignored --nocapture`
+#[test]
+#[ignore = "a measurement"]
+fn cost_of_a_change_with_1000_in_hand_and_of_the_watch_for_an_rpc() {
+    let mut settings = server();
+    settings["FamilyInfo"]["RamKb"] = json!(1_000_000);
+    let made = |settings: &Value| asterrill_settings::server(START, 1, settings, None).unwrap();
+    let (mut core, mut out) = (Core::new(START, made(&settings), Pool::new(4_000), 4), Out::default());
+    core.start(START, &mut out);
+    core.agent_link();
+    core.agent_up(START, None, &mut out);
+    for n in 0..1_000_u64 {
+        let place = Place { conn: ConnId(n), stream: StreamId(1) };
+        let (id, caller) = (RpcId::of(n + 1), CallerId(n));
+        let (method, tenant, due) = ("look".to_string(), "acme".to_string(), START + 900_000 * MS);
+        out.bodies.insert(id, Vec::new());
+        let ask = Ask { id, method, tenant, caller, born: START, due, size_kb: 1.0, key: None };
+        core.rpc_read(START, place, ask, b"", &mut out);
+    }
+    let in_hand = core.open();
+    let mut spans: Vec<u128> = (0..101)
+        .map(|n| {
+            settings["FamilyInfo"]["NCores"] = json!(2 + n % 2);
+            let fresh = made(&settings);
+            let start = std::time::Instant::now();
+            core.change(START + n * MS, fresh, Vec::new(), n + 2, &mut out).unwrap();
+            start.elapsed().as_nanos()
+        })
+        .collect();
+    spans.sort_unstable();
+    let mut service = crate::service::Service::new(0, vec![400 * MS, 400 * MS]);
+    let names = ["look".to_string(), "book".to_string()];
+    let start = std::time::Instant::now();
+    for n in 0..1_000_000_u64 {
+        let method = asterrill::MethodId(n as usize % 2);
+        service.read(method);
+        service
+            .answered(asterrill_engine::Served { method, took: n % 900_000, spoilt: n % 50 == 0 }, n % 3 > 0);
+        if n % 20 == 0 {
+            std::hint::black_box(service.take(&names, |_| 5.0)); // 200 a second, ten looks
+        }
+    }
+    let each = start.elapsed().as_nanos() / 1_000_000;
+    println!(
+        "in hand {in_hand}; a change {} ns (median of 101), {} ns at most; the watch {each} ns an RPC",
+        spans[50], spans[100]
+    );
+    assert!(in_hand >= 500 && each < 1_000);
+}
--- a/lab/src/config.rs
+++ b/lab/src/config.rs
@@ -169,6 +169,9 @@
         }
     }
     let during = load.join().map_err(|_| "the load ended badly")??;
+    let history = ask(&stage.socket, json!({"do": "history"}))?;
+    let last = history["history"].as_array().and_then(|all| all.last());
+    report.set("why", json!(last.map(|event| event["why"].clone())));
     report.set("undone", json!(undone.is_some()));
     report.set("undo_after_ms", json!(undone));
     report.rule("it was not undone within 5 s", undone.is_some_and(|after| after < 5_000));
@@ -231,6 +234,9 @@
     }
     let during = load.join().map_err(|_| "the load ended badly")??;
     let stays = settled.as_ref().is_some_and(|(_, version)| *version == json!(2));
+    let history = ask(&stage.socket, json!({"do": "history"}))?;
+    let last = history["history"].as_array().and_then(|all| all.last());
+    report.set("why", json!(last.map(|event| event["why"].clone())));
     report.set("undone", json!(!stays));
     report.set("settled_after_ms", json!(settled.map(|(after, _)| after)));
     report.rule("a good change was undone", stays);
--- a/rollout/src/check.rs
+++ b/rollout/src/check.rs
@@ -61,7 +61,7 @@
     }
 }
 
-/// Share of the last minute's RPCs, above which turning them away is risky.
+/// Share of the last minute's RPCs, above which turning them away beside the running version is risky.
 const TURNED_AWAY: f64 = 0.05;
 
 /// All problems of a change. `factor`: by how much a figure may differ from the running one, 1 or more.
@@ -131,9 +131,11 @@
     for name in old.tenants.keys().filter(|name| !new.tenants.contains_key(*name)) {
         problems.push(Problem::Risky(format!("tenant {name} is gone")));
     }
-    let share = dry_run(new, seen);
+    // Against what the running version would have turned away by the same rough measure.
+    let share = dry_run(new, seen) - dry_run(old, seen);
     if share > TURNED_AWAY {
-        let text = format!("of the last minute's RPCs it would have turned away {:.0} in 100", share * 100.0);
+        let text =
+            format!("of the last minute's RPCs it would have turned away {:.0} in 100 more", share * 100.0);
         problems.push(Problem::Risky(text));
     }
     problems
--- a/rollout/src/lib.rs
+++ b/rollout/src/lib.rs
@@ -37,7 +37,7 @@
 
 pub use check::{check, dry_run, Facts, MethodFacts, Problem, Seen};
 pub use facts::{difference, facts};
-pub use record::{recover, write, RecordFault, Recovered};
+pub use record::{recover, start_with, write, RecordFault, Recovered, Start};
 pub use transaction::{hash, Change, Event, Refusal, Rollout, Stage, Version, Wish};
 pub use watch::{Before, Counted, Loss, Sample, Verdict, Watch};
 
--- a/rollout/src/record.rs
+++ b/rollout/src/record.rs
@@ -74,3 +74,32 @@
         }
     }
 }
+
+/// What a process starts with.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Start {
+    /// What it was told, under this number.
+    Told { number: u64, undone: Vec<(String, u64)> },
+    /// The last good version: what it was told was on probation when the process before ended, or had been undone.
+    Good { good: Recovered, why: &'static str },
+}
+
+/// Decides it, from the text of what the process was told and what stands on disk.
+pub fn start_with(told: &str, good: Option<Recovered>, probation: Option<Recovered>) -> Start {
+    let Some(mut good) = good else {
+        // Without a good version there is nothing to go back to; a lone probation is the first file written.
+        return Start::Told { number: 1, undone: Vec::new() };
+    };
+    if told == good.text {
+        return Start::Told { number: good.number, undone: good.undone };
+    }
+    let hash = crate::hash(told);
+    if good.undone.iter().any(|(known, _)| *known == hash) {
+        return Start::Good { good, why: "what was told had been undone" };
+    }
+    if let Some(on) = probation.filter(|on| on.number != good.number && on.text == told) {
+        good.undone.push((hash, on.number));
+        return Start::Good { good, why: "what was told was on probation" };
+    }
+    Start::Told { number: good.number + 1, undone: good.undone }
+}
--- a/rollout/src/watch.rs
+++ b/rollout/src/watch.rs
@@ -5,9 +5,10 @@
 //! change is the measure; the control is what the old version would have made of the load after it:
 //!
 //! - **A jump in load** is no fault of the change. If the work that comes is more than both what the cores of the
-//!   old version could do and the most that was ever served before, the old version would have lost the excess,
-//!   the least critical first. That much is allowed for, and no more: a bad change during a jump is found by what
-//!   it loses beyond.
+//!   old version could do and the most that was ever served before, the old version would have lost the excess.
+//!   That much is allowed for, and no more: a bad change during a jump is found by what it loses beyond. The excess
+//!   is taken evenly from all methods: a server that sheds the least critical first does better than that, but
+//!   measured at three times the load it lost 0.50 of criticality where that order would have lost 0.32.
 //! - **A slow layer below** is none either: RPCs whose call failed or timed out are left out on both sides. One
 //!   whose call was never placed is not: that may be the change.
 //! - **A few unlucky seconds** are told apart by time: the loss must show in each of the last [`SLOTS`] slots of
@@ -239,16 +240,13 @@
         Loss { share: if all > 0.0 { lost / all } else { 0.0 }, evidence }
     }
 
-    /// What the old version would have lost of a slot's load: as before, and what is beyond its room, the least
-    /// critical first. As criticality asked, and lost of it.
+    /// What the old version would have lost of a slot's load: as before, and of each method what is beyond its
+    /// room. As criticality asked, and lost of it.
     fn due(&self, sample: &Sample) -> (f64, f64) {
-        let mut room = self.room * SLOT as f64 / 1e6;
-        let mut order: Vec<(&String, &Counted)> = sample.methods.iter().collect();
-        order.sort_by(|a, b| self.weight(b.0).total_cmp(&self.weight(a.0)));
+        let (room, work) = (self.room * SLOT as f64 / 1e6, sample.work());
+        let fits = if work > 0.0 { (room / work).min(1.0) } else { 1.0 };
         let (mut all, mut lost) = (0.0, 0.0);
-        for (name, counted) in order {
-            let fits = if counted.work > 0.0 { (room / counted.work).clamp(0.0, 1.0) } else { 1.0 };
-            room -= counted.work * fits;
+        for (name, counted) in &sample.methods {
             let before = self.before.methods.get(name).copied().unwrap_or_default();
             let asked = (before.asked - before.spoilt).max(0.0);
             let usual = if asked > 0.0 { ((asked - before.in_time) / asked).clamp(0.0, 1.0) } else { 0.0 };
