--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,10 @@
 	target/release/asterrill-lab amqp-drain --json
 	target/release/asterrill-lab amqp-odd --json
 	target/release/asterrill-lab amqp-rate --messages 20000 --json
+	target/release/asterrill-lab config-rollback --seed 2 --rate 250 --json
+	target/release/asterrill-lab config-good --seed 1 --rate 250 --json
+	target/release/asterrill-lab config-crash --json
+	target/release/asterrill-lab config-storm --messages 200 --json
 
 # One backend in the foreground, told what it needs by $(CONFIG); see README.md.
 run: build
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -775,7 +775,7 @@
 #[ignore = "a measurement"]
 fn cost_of_a_change_with_1000_in_hand_and_of_the_watch_for_an_rpc() {
     let mut settings = server();
-    settings["FamilyInfo"]["RamKb"] = json!(1_000_000);
+    (settings["FamilyInfo"]["RamKb"], settings["FamilyInfo"]["NCores"]) = (json!(1_000_000), json!(1_500));
     let made = |settings: &Value| asterrill_settings::server(START, 1, settings, None).unwrap();
     let (mut core, mut out) = (Core::new(START, made(&settings), Pool::new(4_000), 4), Out::default());
     core.start(START, &mut out);
@@ -792,7 +792,7 @@
     let in_hand = core.open();
     let mut spans: Vec<u128> = (0..101)
         .map(|n| {
-            settings["FamilyInfo"]["NCores"] = json!(2 + n % 2);
+            settings["FamilyInfo"]["NCores"] = json!(1_500 + n % 2);
             let fresh = made(&settings);
             let start = std::time::Instant::now();
             core.change(START + n * MS, fresh, Vec::new(), n + 2, &mut out).unwrap();
--- a/lab/src/config.rs
+++ b/lab/src/config.rs
@@ -297,6 +297,54 @@
     end(report, &mut stage)
 }
 
+/// Killed in the middle of a probation that a signal began: the last good version starts, though the file says the
+/// other, and what was on probation is not taken again.
+pub fn crash(report: &mut Report, seed: u64) -> Result<(), Fault> {
+    let mut stage = stage(seed + 3_000, false)?;
+    let path = stage.world.node.dir.join("config.json");
+    let good = std::fs::read_to_string(&path)?;
+    let mut bad: Value = serde_json::from_str(&good)?;
+    bad["settings"]["Categories"][0]["DeadlineMs"] = json!(150);
+    bad["settings"]["FamilyInfo"]["NCores"] = json!(3);
+    let status = || ask(&stage.socket, json!({"do": "status"}));
+    let reach = |version: u64, probation: bool| {
+        crate::amqp::until(Duration::from_secs(5), || {
+            let holds = |s: Value| s["version"] == json!(version) && s["probation"].is_object() == probation;
+            status().is_ok_and(holds)
+        })
+    };
+    report.rule("it does not start with version 1", reach(1, false));
+    // Half a file changes nothing.
+    std::fs::write(&path, &good[..good.len() / 2])?;
+    stage.world.node.signal("HUP");
+    std::thread::sleep(ms(200));
+    report.rule("half a file was taken", reach(1, false));
+    std::fs::write(&path, bad.to_string())?;
+    stage.world.node.signal("HUP");
+    report.rule("the signal did not begin a probation", reach(2, true));
+    let kept = stage.socket.with_file_name("probation");
+    report.rule("the probation was not written down", crate::amqp::until(ms(2_000), || kept.exists()));
+    stage.world.node.crash()?;
+    report.rule("it does not start on the last good version", reach(1, false));
+    let started = stage.world.node.read_log().contains("started on the last good version");
+    report.rule("that was not said", started);
+    stage.world.node.signal("HUP");
+    std::thread::sleep(ms(300));
+    report.rule("what was on probation was taken again", reach(1, false));
+    // A state that is damaged is told, and the process serves what its file says.
+    std::fs::write(stage.socket.with_file_name("good"), "asterrill state 1\nsum 12\n")?;
+    std::fs::write(&path, &good)?;
+    stage.world.node.crash()?;
+    report.rule("a damaged state stops it", reach(1, false));
+    let told = stage.world.node.read_log().contains("a state file is not used");
+    report.rule("a damaged state was not told", told);
+    let none = AtomicBool::new(false);
+    let tallies = play(stage.world.node.at, &shares(), &[(ms(1_000), 100.0)], seed, &none)?;
+    framed(report, &[&tallies]);
+    versions(report, &stage.socket)?;
+    end(report, &mut stage)
+}
+
 fn end(report: &mut Report, stage: &mut Stage) -> Result<(), Fault> {
     stage.world.node.signal("TERM");
     let code = stage.world.node.ended(Duration::from_secs(6));
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -57,6 +57,8 @@
     ConfigRollback,
     /// A good change, across a jump in load for odd seeds
     ConfigGood,
+    /// Killed in the middle of a probation
+    ConfigCrash,
     /// A thousand changes in a row
     ConfigStorm,
     /// CPU of a framed RPC, this build and another in turns
@@ -76,6 +78,7 @@
             Scenario::ConfigRollback => "config-rollback",
             Scenario::ConfigGood => "config-good",
             Scenario::ConfigStorm => "config-storm",
+            Scenario::ConfigCrash => "config-crash",
         }
     }
     fn play(self, report: &mut Report, to: &Arguments) -> Result<(), Fault> {
@@ -89,6 +92,7 @@
             Scenario::AmqpRate => amqp::rate(report, to.seed, to.messages.unwrap_or(100_000)),
             Scenario::ConfigRollback => config::rollback(report, to.seed, to.rate),
             Scenario::ConfigGood => config::good(report, to.seed, to.rate),
+            Scenario::ConfigCrash => config::crash(report, to.seed),
             Scenario::ConfigStorm => config::storm(report, to.seed, to.messages.unwrap_or(1_000), to.rate),
             Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), to.rate, to.other.as_deref()),
         }
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -297,7 +297,8 @@
     pub child: Child,
     pub at: SocketAddr,
     pub log: PathBuf,
-    dir: PathBuf,
+    pub dir: PathBuf,
+    program: PathBuf,
 }
 
 /// How a node is set up.
@@ -357,23 +358,44 @@
         let log = dir.join("log");
         let program = setup.program.clone().or_else(program);
         let missing = || std::io::Error::other("asterrilld is not built beside this program");
-        let mut command = Command::new(program.ok_or_else(missing)?);
-        command.env("GW_CONFIG", dir.join("config.json")).stdin(Stdio::null()).stdout(Stdio::null());
+        let program = program.ok_or_else(missing)?;
         if let Some(file) = &setup.file {
             let text = file.replace("{password}", &secret.display().to_string());
             std::fs::write(dir.join("asterrill.conf"), text)?;
+        }
+        std::fs::File::create(&log)?;
+        let child = Node::spawn(&program, &dir, &log)?;
+        let node = Node { child, at, log, dir, program };
+        node.listens()?;
+        Ok(node)
+    }
+
+    fn spawn(program: &Path, dir: &Path, log: &Path) -> std::io::Result<Child> {
+        let mut command = Command::new(program);
+        command.env("GW_CONFIG", dir.join("config.json")).stdin(Stdio::null()).stdout(Stdio::null());
+        if dir.join("asterrill.conf").exists() {
             command.arg("--file").arg(dir.join("asterrill.conf"));
         }
-        let child = command.stderr(std::fs::File::create(&log)?).spawn()?;
-        let node = Node { child, at, log, dir };
+        command.stderr(std::fs::File::options().append(true).open(log)?).spawn()
+    }
+
+    /// Kills the process where it stands, and starts it again with the files as they are.
+    pub fn crash(&mut self) -> std::io::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        self.child = Node::spawn(&self.program, &self.dir, &self.log)?;
+        self.listens()
+    }
+
+    fn listens(&self) -> std::io::Result<()> {
         let until = Instant::now() + Duration::from_secs(5);
-        while TcpStream::connect(at).is_err() {
+        while TcpStream::connect(self.at).is_err() {
             if Instant::now() > until {
-                return Err(std::io::Error::other(format!("it does not listen: {}", node.read_log())));
+                return Err(std::io::Error::other(format!("it does not listen: {}", self.read_log())));
             }
             std::thread::sleep(Duration::from_millis(5));
         }
-        Ok(node)
+        Ok(())
     }
 
     pub fn signal(&self, name: &str) {
