Changes also resize the room for connections; the storm changes a queue with deliveries in hand

Need: connection limits change as far as they can, a delivery unsettled at a change is a hard case of the issue, and each log line should say under which version it was written. Change: Room::grow, version on the core's log lines, config-storm with a broker, operator's files and signals among the changes, a consumer test of other terms and of a queue that is left and taken up again.

--- a/consumer/src/tests.rs
+++ b/consumer/src/tests.rs
@@ -577,6 +577,38 @@
     assert_eq!(w.ready.iter().map(|m| m.name).collect::<BTreeSet<_>>(), [0, 2, 3, 9].into());
 }
 
+#[test]
+fn other_terms_count_from_the_next_delivery_on_and_a_queue_that_was_left_may_come_back() {
+    let mut w = World::new(terms("read"));
+    w.publish(1, true, false);
+    w.publish(2, true, false);
+    w.deliver(1, false);
+    w.launch();
+    let mut other = terms("keyed");
+    (other.attempts, other.prefetch, other.bound) = (1, 4, S);
+    w.queue.change(other.clone(), methods(), BTreeMap::new());
+    w.end(false); // read as one that may run again: it does, by the new number of attempts it may not
+    assert_eq!((w.ends[&1].as_slice(), w.queue.counts.poisoned), (&[Settle::Reject][..], 1));
+    w.deliver(1, false);
+    assert!(w.offered.len() == 1 && w.queue.terms().bound == S);
+    // Left, with one in hand that still ends, and taken up again on the channel that stands.
+    w.queue.leave(w.now);
+    w.todo();
+    assert!(w.consuming.is_none() && !w.queue.left());
+    w.launch();
+    w.end(true);
+    assert!(w.queue.left() && w.ends[&2] == [Settle::Ack]);
+    w.queue.change(other, methods(), BTreeMap::new());
+    w.now += 2 * S;
+    w.look(8.0);
+    w.publish(3, true, false);
+    w.deliver(1, false);
+    w.launch();
+    w.end(true);
+    assert_eq!(w.ends[&3], [Settle::Ack]);
+    w.check();
+}
+
 #[test]
 fn an_answer_is_published_again_until_it_is_left_out_and_the_delivery_waits_for_it() {
     let mut w = World::new(terms("keyed"));
--- a/daemon/src/change.rs
+++ b/daemon/src/change.rs
@@ -294,7 +294,7 @@
     fn carry_out(&mut self, hub: &Hub, content: &Content, number: u64) -> Result<(), Fault> {
         let server = asterrill_settings::server(now(), self.seed, &content.settings, Some(false))?;
         let terms = operator::terms(content.file.broker.as_ref(), &server)?;
-        hub.resize(content.memory_mb);
+        hub.resize(content.memory_mb, crate::room(content.sockets));
         let done = hub.with(|core: &mut Core, wire, now| core.change(now, server, terms, number, wire));
         done.map_err(Fault::new)
     }
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -235,7 +235,7 @@
                 draining: false,
                 up: None,
                 service,
-                stamps: Stamps::default(),
+                stamps: Stamps { module: 1, names: 1, queues: 1 },
                 counters: Counters::default(),
             },
             now,
@@ -329,6 +329,10 @@
         fine.is_ok()
     }
 
+    /// The version of the configuration that is in force.
+    pub fn version(&self) -> u64 {
+        self.around.stamps.module
+    }
     /// What was served since the last time, for the watch over a change.
     pub fn served(&mut self) -> Sample {
         let (engine, names) = (&self.engine, &self.around.server.methods);
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -5,7 +5,7 @@
 use crate::counters::Counters;
 use crate::queues::Queues;
 use asterrill::{Final, RpcId, Us};
-use asterrill_net::{now, Bell, Outbox, Pool, SIZE};
+use asterrill_net::{now, Bell, Outbox, Pool, Room, SIZE};
 use asterrill_protocol::agent::{self, NoticeId};
 use asterrill_protocol::frames::{self, ANSWER_HEAD};
 use asterrill_protocol::records;
@@ -91,6 +91,8 @@
     serving: Option<bool>,
     idle: Us,
     draining: bool,
+    /// The version of the configuration that is in force, for the log.
+    version: u64,
     scratch: Vec<u8>,
     log: Logger,
 }
@@ -107,6 +109,8 @@
     pub pool: Pool,
     /// Bodies of RPCs.
     held: Pool,
+    /// For connections.
+    pub room: Room,
     pub log: Logger,
     /// Rings when the clock is wanted earlier than it was set.
     pub clock: Bell,
@@ -130,12 +134,21 @@
             serving: None,
             idle,
             draining: false,
+            version: 1,
             scratch: Vec::with_capacity(512),
             log: log.clone(),
         };
-        let [pool, held] = pools;
+        let ([pool, held], taken) = (pools, Room::new(room));
         let inner = Inner { core, ports, armed: Us::MAX, conns: 0 };
-        Hub { inner: Mutex::new(inner), pool, held, log, clock: Bell::default(), naming: Bell::default() }
+        Hub {
+            inner: Mutex::new(inner),
+            pool,
+            held,
+            room: taken,
+            log,
+            clock: Bell::default(),
+            naming: Bell::default(),
+        }
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
@@ -155,6 +168,7 @@
         let Inner { core, ports, armed, .. } = &mut *inner;
         let told = ports.serving;
         let result = input(core, ports, now());
+        ports.version = core.version();
         ports.finish(core);
         if ports.serving != told {
             self.naming.ring();
@@ -318,8 +332,13 @@
     pub fn counted(&self) -> Counters {
         self.inner().core.counted()
     }
-    /// Buffers for so much memory in all, from now on.
-    pub fn resize(&self, memory_mb: u64) {
+    /// Buffers for so much memory in all, and room for so many connections, from now on. Links below stay as many
+    /// as they are.
+    pub fn resize(&self, memory_mb: u64, room: usize) {
+        let mut inner = self.inner();
+        self.room.grow(room as isize - inner.ports.room as isize);
+        inner.ports.room = room;
+        drop(inner);
         let most = buffers(memory_mb);
         self.pool.resize(most);
         self.held.resize(most);
@@ -461,6 +480,6 @@
         }
     }
     fn log(&mut self, line: &str) {
-        info!(self.log, "{}", line);
+        info!(self.log, "{}", line; "version" => self.version);
     }
 }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -23,7 +23,7 @@
 use crate::store::Store;
 use asterrill::Us;
 use asterrill_conf::{File, Form};
-use asterrill_net::{drive, hold, listen, now, spawn, wait_until, Address, End, Outbox, Pause, Pool, Room};
+use asterrill_net::{drive, hold, listen, now, spawn, wait_until, Address, End, Outbox, Pause, Pool};
 use asterrill_protocol::{agent, frames, records};
 use asterrill_rollout::{start_with, Start};
 use asterrill_settings::{Deployment, Fault};
@@ -128,11 +128,11 @@
     let idle = asterrill_settings::maybe_time(&to.server["FamilyInfo"], "IdleMs")?;
     let idle = if idle > 0 { idle } else { Us::MAX };
     let agent_out = Outbox::new(&pool, LINK);
-    let links = (to.sockets / BELOW).max(LEAST);
+    let links = links(to.sockets);
     let below: Vec<Outbox> =
         to.records.iter().flat_map(|_| (0..links).map(|_| Outbox::new(&pool, LINK))).collect();
     let core = Core::new(now(), server, held.clone(), below.len());
-    let room = to.sockets.saturating_sub(KEPT_BACK + links).max(1) as usize;
+    let room = room(to.sockets);
     let (out, links) = (agent_out.clone(), below.clone());
     let hub = Arc::new(Hub::new(core, out, links, room, idle, [pool.clone(), held], log.clone()));
     if let Some((queues, addresses, pause)) = broker {
@@ -204,7 +204,7 @@
         spawn("listener", move || {
             listen(
                 listener,
-                Room::new(room),
+                hub.room.clone(),
                 log,
                 || crowd.crowded(),
                 |stream, place| {
@@ -239,6 +239,14 @@
     Ok(())
 }
 
+/// Links below, and connections, that there is room for with so many descriptors.
+fn links(sockets: u64) -> u64 {
+    (sockets / BELOW).max(LEAST)
+}
+fn room(sockets: u64) -> usize {
+    sockets.saturating_sub(KEPT_BACK + links(sockets)).max(1) as usize
+}
+
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
--- a/lab/src/amqp.rs
+++ b/lab/src/amqp.rs
@@ -78,7 +78,7 @@
     let id = named.then(|| format!("id-{n}"));
     Message { id, body: format!("job {n}").into_bytes(), ..Message::default() }
 }
-fn endless(n: u64) -> Message {
+pub fn endless(n: u64) -> Message {
     job(n, true)
 }
 
@@ -95,7 +95,7 @@
 }
 
 /// What every scenario says of the ledger, and the rules that it checks.
-fn ledger(report: &mut Report, ledger: &Ledger) {
+pub fn ledger(report: &mut Report, ledger: &Ledger) {
     report.set("deliveries_read", json!(ledger.deliveries));
     report.set("acked", json!(ledger.acked));
     report.set("rejected", json!(ledger.rejected));
--- a/lab/src/config.rs
+++ b/lab/src/config.rs
@@ -1,6 +1,7 @@
 //! Scenarios of changes of the configuration: bad ones under load, that have to be undone, and good ones that stay.
 
 use crate::amqp::{shares, World, LOOK, PRICE, UPDATE};
+use crate::broker::{Broker, Script};
 use crate::load::{in_time, play, sum, Tallies};
 use crate::report::{Fault, Report};
 use crate::world::{Method, Setup};
@@ -71,14 +72,31 @@
     socket: PathBuf,
 }
 
+/// The operator's file: where operators are listened to, and a queue if there is a broker.
+fn operators(socket: &Path, dir: &Path, broker: Option<(&Broker, u64)>) -> String {
+    let (socket, dir) = (socket.display(), dir.display());
+    let changes = format!("[changes]\ncontrol {socket}\nstate {dir}\n[log]\nformat json\n");
+    let queue = broker.map_or(String::new(), |(broker, prefetch)| {
+        let at = broker.at;
+        format!(
+            "[broker]\naddress {at}\nuser u\npassword-file {{password}}\n[queue stock]\nmethod stock-update\n\
+             prefetch {prefetch}\n"
+        )
+    });
+    changes + &queue
+}
+
 /// A backend that listens to operators, busy to seven tenths.
 fn stage(seed: u64, crowded: bool) -> Result<Stage, Fault> {
+    stage_with(seed, crowded, None)
+}
+
+fn stage_with(seed: u64, crowded: bool, broker: Option<&Broker>) -> Result<Stage, Fault> {
     let dir = std::env::temp_dir().join(format!("asterrill-lab-{}-c{seed}", std::process::id()));
     std::fs::create_dir_all(&dir)?;
     let socket = dir.join("control");
     std::fs::remove_file(&socket).unwrap_or_default();
-    let file =
-        format!("[changes]\ncontrol {}\nstate {}\n[log]\nformat json\n", socket.display(), dir.display());
+    let file = operators(&socket, &dir, broker.map(|broker| (broker, 32)));
     let methods = [
         Method { work: ms(8), calls: false, ..PRICE },
         Method { work: ms(10), calls: true, ..LOOK },
@@ -94,7 +112,8 @@
         say: "window",
         program: None,
     };
-    let world = World::start(&setup, "")?;
+    let password = broker.map_or(String::new(), |broker| broker.state().password.clone());
+    let world = World::start(&setup, &password)?;
     world.agent.runs().thrashes = crowded;
     Ok(Stage { world, setup, socket })
 }
@@ -249,8 +268,12 @@
 
 /// A thousand changes in a row under load, a client that sends half a line and stays, and signals in between.
 pub fn storm(report: &mut Report, seed: u64, changes: u64, rate: f64) -> Result<(), Fault> {
-    let mut stage = stage(seed + 2_000, false)?;
+    let broker = Broker::start(Script::default())?;
+    broker.state().endless = Some(("stock".into(), crate::amqp::endless));
+    let mut stage = stage_with(seed + 2_000, false, Some(&broker))?;
     let (at, of) = (stage.world.node.at, shares());
+    let secret = stage.world.node.dir.join("password").display().to_string();
+    let state = stage.socket.parent().map(Path::to_path_buf).unwrap_or_default();
     let span = Duration::from_secs(8);
     let load = std::thread::spawn(move || {
         play(at, &of, &[(span, rate)], seed, &AtomicBool::new(false)).map_err(|e| e.to_string())
@@ -258,16 +281,30 @@
     let mut half = UnixStream::connect(&stage.socket)?;
     half.write_all(b"{\"v\": 1, \"do\": \"sta")?;
     std::thread::sleep(ms(1_000));
-    let (mut early, mut took) = (0.0, Vec::new());
+    let (mut early, mut took, mut signalled) = (0.0, Vec::new(), 0);
     for n in 0..changes {
         let mut settings = stage.setup.settings();
         settings["FamilyInfo"]["RamKb"] = json!(150_000 + n % 7 * 1_000 + 1);
         // Every third change removes a method, or brings it back, while RPCs of it are in hand.
         if n % 3 == 0 {
-            settings["Categories"].as_array_mut().map(|all| all.pop());
+            settings["Categories"].as_array_mut().map(|all| all.remove(1));
+        }
+        // Every seventh is of the queue, with deliveries of it in hand.
+        let text = match n % 7 {
+            3 => operators(&stage.socket, &state, Some((&broker, 8 + n % 40))).replace("{password}", &secret),
+            _ => file(&stage.setup, settings),
+        };
+        let wish = json!({"do": "stage", "text": text, "force": true});
+        let mut staged = ask(&stage.socket, wish.clone())?;
+        // A signal came in between, whose change is on probation now: that one is settled first.
+        if staged["error"].as_str().is_some_and(|why| why.contains("on probation")) {
+            signalled += 1;
+            ask(&stage.socket, json!({"do": "settle"}))?;
+            staged = ask(&stage.socket, wish)?;
+        }
+        if n % 7 == 3 && staged["ok"] != json!(true) {
+            report.set("refused", staged.clone());
         }
-        let text = file(&stage.setup, settings);
-        let staged = ask(&stage.socket, json!({"do": "stage", "text": text, "force": true}))?;
         report.rule("a change was not staged", staged["ok"] == json!(true));
         let applied = ask(&stage.socket, json!({"do": "apply"}))?;
         took.extend(applied["took_us"].as_u64());
@@ -283,6 +320,8 @@
     let late = stage.world.node.memory_mb();
     took.sort_unstable();
     report.set("changes", json!(took.len()));
+    report.set("changes_by_signal", json!(signalled));
+    report.rule("no signal brought a change", signalled > 0);
     report.set("apply_us_median", json!(took.get(took.len() / 2)));
     report.set("apply_us_most", json!(took.last()));
     report.set("memory_mb_early", json!(early));
@@ -294,7 +333,12 @@
     report.set("in_time", json!(in_time(&tallies, &shares())));
     versions(report, &stage.socket)?;
     drop(half);
-    end(report, &mut stage)
+    end(report, &mut stage)?;
+    std::thread::sleep(ms(50));
+    let kept = broker.ledger();
+    crate::amqp::ledger(report, &kept);
+    report.rule("no delivery was taken", kept.acked > 0);
+    Ok(())
 }
 
 /// Killed in the middle of a probation that a signal began: the last good version starts, though the file says the
--- a/net/src/listener.rs
+++ b/net/src/listener.rs
@@ -6,7 +6,7 @@
 use slog::{warn, Logger};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicIsize, Ordering};
 use std::sync::Arc;
 
 const RUSH: usize = 8; // connections taken in before everyone else gets a turn
@@ -14,7 +14,7 @@
 
 /// Room for so many connections. Each holds its place until it is dropped.
 #[derive(Clone)]
-pub struct Room(Arc<(AtomicUsize, Bell)>);
+pub struct Room(Arc<(AtomicIsize, Bell)>);
 
 pub struct Place(Room);
 
@@ -28,10 +28,18 @@
 
 impl Room {
     pub fn new(most: usize) -> Room {
-        Room(Arc::new((AtomicUsize::new(most), Bell::default())))
+        Room(Arc::new((AtomicIsize::new(most as isize), Bell::default())))
+    }
+    /// Room for so many more or fewer from now on. What is taken beyond it is not taken back: the next wait until
+    /// enough of them have ended.
+    pub fn grow(&self, by: isize) {
+        self.0 .0.fetch_add(by, Ordering::AcqRel);
+        self.0 .1.ring();
     }
     fn take(&self) -> Option<Place> {
-        let one = self.0 .0.fetch_update(Ordering::AcqRel, Ordering::Acquire, |free| free.checked_sub(1));
+        let one = self.0 .0.fetch_update(Ordering::AcqRel, Ordering::Acquire, |free| {
+            Some(free - 1).filter(|left| *left >= 0)
+        });
         one.ok().map(|_| Place(self.clone()))
     }
 }
--- a/net/src/tests.rs
+++ b/net/src/tests.rs
@@ -258,3 +258,41 @@
     bell.ring();
     assert_eq!(heard.recv_timeout(WAIT), Ok((true, 1)));
 }
+
+#[test]
+fn room_that_shrinks_takes_nobody_in_until_enough_have_ended_and_room_that_grows_does_at_once() {
+    worker();
+    let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let at = listener.local_addr().unwrap();
+    let (told, heard) = channel();
+    let room = Room::new(2);
+    let (pool, log, kept) = (Pool::new(8), slog::Logger::root(slog::Discard, slog::o!()), room.clone());
+    let took = move |stream: TcpStream, place| {
+        let (pool, told) = (pool.clone(), told.clone());
+        spawn("echo", move || {
+            let out = Outbox::new(&pool, SIZE);
+            drive(&stream, &out, &pool, &mut Echo(out.clone(), 1, told));
+            drop((stream, place));
+        })
+        .unwrap();
+    };
+    spawn("listen", move || listen(listener, kept, log, || {}, took)).unwrap();
+    let served = |stream: &mut Plain| {
+        stream.set_read_timeout(Some(Duration::from_millis(150))).unwrap();
+        stream.read(&mut [0]).is_ok_and(|n| n == 1)
+    };
+    let ask = || {
+        let mut stream = Plain::connect(at).unwrap();
+        stream.write_all(b"z").unwrap();
+        stream
+    };
+    let [mut first, mut second] = [(); 2].map(|()| ask());
+    assert!(served(&mut first) && served(&mut second));
+    room.grow(-1);
+    let mut third = ask();
+    drop(first);
+    assert!(!served(&mut third), "one of two that are there has left: that is all there is room for");
+    room.grow(1);
+    assert!(served(&mut third));
+    drop((second, heard));
+}
