Hostile review of queues and changes: a stuck broker is cut, the socket is made in private

Cause, found by reading: a broker that is silent and reads nothing kept its connection until all was written; ids taken in a row could have held the worker; the control socket was open to others between bind and chmod; buffers were resized before a change that might fail; after a settled change the next had no window before; memory beyond what is free was not checked in the daemon. Change: cut at once on silence; four tries of an id, then the message waits; bind in a private directory and rename; resize after the change; the window of a probation is the next one's measure; MemAvailable bounds memory.

--- a/daemon/src/change.rs
+++ b/daemon/src/change.rs
@@ -93,6 +93,8 @@
     rollout: Rollout<Content>,
     facts: Facts,
     before: Before,
+    /// The same since the change that is watched: what the next one is measured by, if this one stays.
+    meanwhile: Before,
     watch: Option<Watch>,
     next: Us,
     terms: Terms,
@@ -107,8 +109,8 @@
     ) -> Result<Changes, Fault> {
         let (text, facts) = (start.text(), facts(&start.settings)?);
         let rollout = Rollout::after(start, &text, number, undone, now());
-        let (before, watch) = (Before::default(), None);
-        let changes = Changes { rollout, facts, before, watch, next: now(), terms, seed, store };
+        let (before, meanwhile, watch) = (Before::default(), Before::default(), None);
+        let changes = Changes { rollout, facts, before, meanwhile, watch, next: now(), terms, seed, store };
         changes.keep();
         Ok(changes)
     }
@@ -137,7 +139,10 @@
         self.next = at + SAMPLE;
         let sample = hub.with(|core, _, _| core.served());
         let verdict = match &mut self.watch {
-            Some(watch) => watch.take(at, &sample),
+            Some(watch) => {
+                self.meanwhile.take(at, &sample);
+                watch.take(at, &sample)
+            }
             None => {
                 self.before.take(at, &sample);
                 Verdict::Wait
@@ -225,8 +230,13 @@
             Err(fault) => return refused(&fault.to_string()),
         };
         let mut seen = hub.with(|core, _, _| core.seen());
-        // What the program may take for bodies is a part of its memory; the rest is booked at the agent's.
-        seen.free_kb = 0.0;
+        // What is booked now is a part of what there is.
+        let free = free_kb();
+        seen.free_kb = free.map_or(0.0, |free| free + self.facts.memory_kb);
+        let more = content.memory_mb.saturating_sub(self.rollout.running().content.memory_mb) as f64 * 1024.0;
+        if free.is_some_and(|free| more > free) {
+            return refused(&format!("it wants {more:.0} kB more for itself than there are free"));
+        }
         let problems = check(&self.facts, &new, &seen, self.terms.factor);
         let stops = |p: &Problem| matches!(p, Problem::Wrong(_)) || !wish.force;
         let shown: Vec<String> = problems.iter().map(Problem::to_string).collect();
@@ -294,16 +304,17 @@
     fn carry_out(&mut self, hub: &Hub, content: &Content, number: u64) -> Result<(), Fault> {
         let server = asterrill_settings::server(now(), self.seed, &content.settings, Some(false))?;
         let terms = operator::terms(content.file.broker.as_ref(), &server)?;
-        hub.resize(content.memory_mb, crate::room(content.sockets));
         let done = hub.with(|core: &mut Core, wire, now| core.change(now, server, terms, number, wire));
-        done.map_err(Fault::new)
+        done.map_err(Fault::new)?;
+        hub.resize(content.memory_mb, crate::room(content.sockets));
+        Ok(())
     }
 
     fn settle(&mut self, hub: &Hub, why: &str) -> Told {
         match self.rollout.settle(now(), why) {
             Ok(number) => {
                 self.watch = None;
-                self.before = Before::default();
+                self.before = std::mem::take(&mut self.meanwhile);
                 hub.with(|core, _, _| core.settled());
                 self.keep();
                 self.log(&hub.log);
@@ -317,7 +328,7 @@
         match self.rollout.undo(now(), why) {
             Ok(version) => {
                 self.watch = None;
-                self.before = Before::default();
+                self.meanwhile = Before::default();
                 let done = self.carry_out(hub, &version.content, version.number);
                 hub.with(|core, _, _| core.settled());
                 self.facts = facts(&version.content.settings).unwrap_or_default();
@@ -368,6 +379,13 @@
     }
 }
 
+/// Memory of the machine that is free, in kB, where the system tells.
+fn free_kb() -> Option<f64> {
+    let text = std::fs::read_to_string("/proc/meminfo").ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix("MemAvailable:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 fn refused(why: &str) -> Told {
     json!({"ok": false, "error": why})
 }
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -6,7 +6,7 @@
 use serde_json::{json, Value};
 use slog::{info, warn, Logger};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::os::unix::fs::PermissionsExt;
+use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -32,8 +32,17 @@
         }
         std::fs::remove_file(path).map_err(named)?;
     }
-    let listener = UnixListener::bind(path).map_err(named)?;
-    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600)).map_err(named)?;
+    // Made where nobody else can reach it, and moved into its place once it is for its owner only.
+    let beside = path.with_extension(format!("{}.new", std::process::id()));
+    std::fs::DirBuilder::new().mode(0o700).create(&beside).map_err(named)?;
+    let made = beside.join("s");
+    let listener = UnixListener::bind(&made).and_then(|listener| {
+        std::fs::set_permissions(&made, std::fs::Permissions::from_mode(0o600))?;
+        std::fs::rename(&made, path)?;
+        Ok(listener)
+    });
+    std::fs::remove_dir_all(&beside).map_err(named)?;
+    let listener = listener.map_err(named)?;
     info!(log, "operators are listened to"; "path" => %path.display());
     let (log, clients) = (log.clone(), Arc::new(AtomicUsize::new(0)));
     std::thread::Builder::new().name("control".into()).spawn(move || {
@@ -133,3 +142,55 @@
         other => Err(format!("{other:?} is not known")),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ask(path: &Path, bytes: &[u8]) -> String {
+        let mut stream = UnixStream::connect(path).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+        stream.write_all(bytes).unwrap();
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line).unwrap();
+        line
+    }
+
+    #[test]
+    fn only_the_owner_may_open_it_and_bad_requests_are_named_while_others_are_served() {
+        let path = std::env::temp_dir().join(format!("asterrilld-control-{}", std::process::id()));
+        std::fs::remove_file(&path).unwrap_or_default();
+        let log = Logger::root(slog::Discard, slog::o!());
+        let told: Ask = Arc::new(|wanted| json!({"ok": true, "wanted": format!("{wanted:?}")}));
+        listen(&path, told.clone(), &log).unwrap();
+        let mode = std::fs::metadata(&path).unwrap().permissions().mode() & 0o777;
+        assert_eq!(mode, 0o600);
+        let mut half = UnixStream::connect(&path).unwrap();
+        half.write_all(b"{\"v\": 1, ").unwrap();
+        for (asked, part) in [
+            (&b"{\"v\": 1, \"do\": \"status\"}\n"[..], "Status"),
+            (b"{\"v\": 1, \"do\": \"apply\", \"if_base\": 3}\n", "if_base: Some(3)"),
+            (b"{\"v\": 1, \"do\": \"apply\", \"if_base\": -3}\n", "if_base is no whole number"),
+            (b"{\"v\": 1, \"do\": \"stage\"}\n", "stage wants text"),
+            (b"{\"v\": 2, \"do\": \"status\"}\n", "speaks version 1"),
+            (b"{\"v\": 1, \"do\": \"dance\"}\n", "is not known"),
+            (b"what?\n", "not JSON"),
+        ] {
+            let line = ask(&path, asked);
+            assert!(line.contains(part), "{line} for {part}");
+        }
+        let long = vec![b'x'; LINE as usize + 1];
+        assert!(ask(&path, &long).contains("512 KiB"));
+        // The half line is given up in its time.
+        let mut line = String::new();
+        half.set_read_timeout(Some(WITHIN * 2)).unwrap();
+        BufReader::new(half).read_line(&mut line).unwrap();
+        assert!(line.contains("within 5 s"), "{line}");
+        // A place where somebody listens is not taken over; one that a process has left is.
+        assert!(listen(&path, told.clone(), &log).unwrap_err().to_string().contains("another process"));
+        std::fs::remove_file(&path).unwrap();
+        std::fs::write(&path, "a file").unwrap();
+        assert!(listen(&path, told, &log).unwrap_err().to_string().contains("no socket"));
+        std::fs::remove_file(&path).unwrap();
+    }
+}
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -71,6 +71,7 @@
 
 const EXERCISE: Us = 200_000; // a thorough check is answered by then
 const ASKING: usize = 64; // thorough checks that wait at a time; more are answered from store
+const IDS: usize = 4; // tried for a message of a queue, until it waits like one that was pushed back
 const METHODS: usize = 1024; // that there ever were: each keeps its place
 const FLUSH: Us = 100_000; // kept free before the kill, to write out what is owed
 
@@ -274,8 +275,15 @@
                 Want::Offer(mut read, work, body) => {
                     out.around.service.read(read.method);
                     let at = Asker::Queue(work);
-                    while !self.engine.rpc_read(now, at, read.clone(), &body, &mut out) {
-                        read.id = RpcId::of(self.chance.generate()); // of all ids one that is open
+                    // Of all ids it may be one that is open; hardly so several times.
+                    let mut taken = false;
+                    for _ in 0..IDS {
+                        taken = taken || self.engine.rpc_read(now, at, read.clone(), &body, &mut out);
+                        read.id = RpcId::of(self.chance.generate());
+                    }
+                    if !taken {
+                        let answer = Final::PushedBack { terminal: false, come_back: 0 };
+                        out.answer(at, answer, None, None);
                     }
                 }
                 Want::Withdraw(work) => {
@@ -319,12 +327,13 @@
             None => Ok(()),
         });
         logs.iter().for_each(|line| wire.log(line));
-        self.broker_fine(fine, wire)
+        self.broker_fine(fine, false, wire)
     }
-    fn broker_fine(&mut self, fine: Result<(), String>, wire: &mut dyn Wire) -> bool {
+    /// A connection of no more use ends: once what it was told is written, or at once if nobody may read that.
+    fn broker_fine(&mut self, fine: Result<(), String>, at_once: bool, wire: &mut dyn Wire) -> bool {
         if let Err(why) = &fine {
             wire.log(&format!("the connection to the broker is made anew: {why}"));
-            wire.end_broker(false);
+            wire.end_broker(at_once);
         }
         fine.is_ok()
     }
@@ -734,6 +743,6 @@
                 None => Ok(()),
             }
         });
-        self.broker_fine(fine, wire);
+        self.broker_fine(fine, true, wire);
     }
 }
