--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -344,6 +344,12 @@
         settings["FamilyInfo"]["RamKb"] = json!(2_000 + 500 * (n % 5));
         settings["FamilyInfo"]["RunFactor"] = json!(2 + n % 4);
         settings["FamilyInfo"]["ClassSkipWorth"] = json!([]);
+        if n % 5 == 4 {
+            // The tenant of all that is in hand stands at another place, or nowhere.
+            let other = json!({"Name": "other", "QuotaRps": 5});
+            let acme = json!({"Name": "acme", "QuotaRps": 1_000_000});
+            settings["Tenants"] = if n % 10 == 4 { json!([other, acme]) } else { json!([other]) };
+        }
         self.version += 1;
         let made = asterrill_settings::server(self.now, 1, &settings, None).unwrap();
         self.core.change(self.now, made, Vec::new(), self.version, &mut self.out).unwrap();
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -776,6 +776,55 @@
         assert_eq!(ask(&mut c, 11 * MS, 4, 1).runs, [RpcId::of(4)]);
     }
 
+    #[test]
+    fn a_change_while_cold_goes_on_warming_up_where_it_was() {
+        let cold = |now: Us, tip: f64| {
+            let mut c = made(now, &[1.0], 4, 100_000.0);
+            c = {
+                let fresh = Target::new(now, 4, tip, 0.25, 1_000 * MS);
+                let method = Method {
+                    latency_target: 400 * MS,
+                    deadline: 900 * MS,
+                    effect: Effect::Idempotent,
+                    criticality: 1.0,
+                    late_share: 0.0,
+                    window: 0,
+                    skip_share: 0.0,
+                };
+                drop(c);
+                Control::new(
+                    now,
+                    3,
+                    4 * MS,
+                    StopMode::Abort,
+                    vec![method],
+                    Accounts::new(400 * MS, 1),
+                    fresh,
+                    Calls::new(Below::Nothing, 4, 0, 400 * MS),
+                    Keys::new(0.0, 0),
+                    Memory::new(100_000.0, 2.0),
+                    Drain::new(400 * MS),
+                    Credit::new(Say::Credit, 0, 400 * MS, 0),
+                    Shares::new(&[1.0], 1, 0.5),
+                )
+            };
+            c
+        };
+        // Two that began together; one has its settings changed to the same half way up.
+        let (mut kept, mut changed) = (cold(0, 1.5), cold(0, 1.5));
+        kept.started();
+        changed.started();
+        changed.change(500 * MS, cold(500 * MS, 1.5), &[0], &[Some(0)]);
+        let count = |c: &mut Control, now: Us, from: u64| {
+            (from..from + 40).map(|n| ask(c, now, n, 0).runs.len()).sum::<usize>()
+        };
+        let [kept, changed] = [&mut kept, &mut changed].map(|c| count(c, 600 * MS, 1));
+        assert_eq!(kept, changed, "it would be colder if the change had begun the warming anew");
+        let mut anew = cold(590 * MS, 1.5);
+        anew.started();
+        assert!(count(&mut anew, 600 * MS, 1) < kept);
+    }
+
     #[test]
     fn memory_is_given_back_as_it_was_booked_whatever_was_changed_meanwhile() {
         let mut c = made(0, &[1.0], 8, 100.0); // room for 80 kB: four that run
