--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -65,6 +65,8 @@
     Drop,
     /// What happened to versions, the newest last
     History,
+    /// The others, as the backend knows them: its view, and each member
+    Members,
     /// Print a completion script for a shell
     Completion { shell: clap_complete::Shell },
     /// Print the manual page
@@ -175,10 +177,27 @@
         ToDo::Undo => ask(json!({"do": "undo"})),
         ToDo::Drop => ask(json!({"do": "drop"})),
         ToDo::History => ask(json!({"do": "history"})),
+        ToDo::Members => ask(json!({"do": "members"})),
         ToDo::Completion { .. } | ToDo::Man => Ok(yes(json!({"ok": true}))),
     }
 }
 
+/// A member in a line.
+fn member(of: &serde_json::Map<String, Value>) -> String {
+    let word = |name: &str| match of.get(name) {
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Null) | None => "-".into(),
+        Some(value) => value.to_string(),
+    };
+    let (name, at, standing, trip) = (word("name"), word("at"), word("standing"), word("round_trip_us"));
+    let (since, heard, start) = (word("since_ms"), word("heard_ms"), word("start"));
+    let (turn, why) = (word("incarnation"), word("why"));
+    let flaps = if of.get("flaps") == Some(&json!(true)) { " flaps" } else { "" };
+    format!(
+        "{name:20} {at:21} {standing:8} since {since} ms, heard {heard} ms ago, round trip {trip} us, start {start}.{turn}{flaps} {why}"
+    )
+}
+
 /// An answer in lines for people.
 fn show(told: &Value) -> String {
     let word = |value: &Value| value.as_str().map_or_else(|| value.to_string(), str::to_string);
@@ -189,6 +208,7 @@
             Value::Array(all) => {
                 for one in all {
                     let one = match one.as_object() {
+                        Some(o) if o.contains_key("standing") => member(o),
                         Some(o) => format!(
                             "{:8} version {} (of {}): {}",
                             word(&o["what"]),
--- a/conf/src/lib.rs
+++ b/conf/src/lib.rs
@@ -12,6 +12,7 @@
 mod broker;
 mod changes;
 mod lines;
+mod members;
 mod recovery;
 mod secret;
 #[cfg(test)]
@@ -21,6 +22,7 @@
 pub use broker::{Broker, Queue, Redelivered, Select};
 pub use changes::{Changes, Form};
 pub use lines::Mistake;
+pub use members::Members;
 pub use recovery::Recovery;
 pub use secret::{read_secret, SecretFault};
 
@@ -33,6 +35,8 @@
     pub changes: Changes,
     /// How it comes back; none for as on the platform.
     pub recovery: Option<Recovery>,
+    /// How it knows the others; none for as on the platform.
+    pub members: Option<Members>,
 }
 
 /// Reads the text of the file of this name. An error names the file, the line and the mistake.
@@ -48,7 +52,9 @@
             ("log", None) => file.changes.read_log(section)?,
             ("recovery", None) if file.recovery.is_none() => file.recovery = Some(Recovery::read(section)?),
             ("recovery", None) => return Err(section.mistake("there is a section [recovery] already")),
-            ("changes" | "log" | "recovery", Some(_)) => {
+            ("members", None) if file.members.is_none() => file.members = Some(Members::read(section)?),
+            ("members", None) => return Err(section.mistake("there is a section [members] already")),
+            ("changes" | "log" | "recovery" | "members", Some(_)) => {
                 return Err(section.mistake(&format!("[{}] takes no name", section.kind())))
             }
             ("queue", None) => return Err(section.mistake("a queue wants its name: [queue NAME]")),
@@ -58,7 +64,8 @@
             },
             (other, _) => {
                 let text = format!(
-                    "there is no section [{other}]; there are [broker], [queue NAME], [changes], [recovery] and [log]"
+                    "there is no section [{other}]; there are [broker], [queue NAME], [changes], \
+                     [recovery], [members] and [log]"
                 );
                 return Err(section.mistake(&text));
             }
--- /dev/null
+++ b/conf/src/members.rs
@@ -0,0 +1,110 @@
+//! The section `[members]`: how this backend knows the others.
+
+use crate::lines::Mistake;
+use crate::units::{address, count_in, time_in};
+use crate::Directives;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+const MS: u64 = 1_000;
+const S: u64 = 1_000_000;
+const CONTACTS: usize = 64;
+const WORD: usize = 64; // bytes of a name
+
+/// How this backend knows the others. Times are microseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Members {
+    /// Whose members know each other: datagrams of another cluster are dropped.
+    pub cluster: String,
+    /// Where datagrams are taken, and where others reach that.
+    pub listen: SocketAddr,
+    pub advertise: SocketAddr,
+    /// The file of the key that all share.
+    pub key_file: PathBuf,
+    /// Where others may be, for the first word with them.
+    pub contacts: Vec<SocketAddr>,
+    /// Members that there are at the least: the number by which what is shared is divided in the settings.
+    pub expect: usize,
+    pub zone: String,
+    pub capacity: u32,
+    pub probe: u64,
+    pub suspicion: u64,
+    pub greet: u64,
+    pub settle: u64,
+    pub forget: u64,
+    pub calm: u64,
+}
+
+fn word<'a>(of: &crate::lines::Directive<'a>) -> Result<&'a str, Mistake> {
+    let word = of.one()?;
+    if word.len() > WORD {
+        return Err(of.mistake(format!("{} has {WORD} bytes at most", of.name())));
+    }
+    Ok(word)
+}
+
+impl Members {
+    pub(crate) fn read(mut section: Directives<'_>) -> Result<Members, Mistake> {
+        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+        let mut members = Members {
+            cluster: String::new(),
+            listen: nowhere,
+            advertise: nowhere,
+            key_file: PathBuf::new(),
+            contacts: Vec::new(),
+            expect: 0,
+            zone: String::new(),
+            capacity: 1,
+            probe: 200 * MS,
+            suspicion: S,
+            greet: S,
+            settle: 5 * S,
+            forget: 3600 * S,
+            calm: 60 * S,
+        };
+        for directive in section.take() {
+            if directive.name() != "contact" {
+                section.once(&directive)?;
+            }
+            let one = directive.one()?;
+            match directive.name() {
+                "cluster" => members.cluster = word(&directive)?.into(),
+                "listen" => members.listen = address(&directive, one)?,
+                "advertise" => members.advertise = address(&directive, one)?,
+                "key-file" if one.starts_with('/') => members.key_file = one.into(),
+                "key-file" => {
+                    return Err(directive.mistake(format!("key-file wants a path from the root, not {one:?}")))
+                }
+                "contact" if members.contacts.len() >= CONTACTS => {
+                    return Err(directive.mistake(format!("there are {CONTACTS} contacts at most")))
+                }
+                "contact" => members.contacts.push(address(&directive, one)?),
+                "expect" => members.expect = count_in(&directive, one, 1, 2_000)? as usize,
+                "zone" => members.zone = word(&directive)?.into(),
+                "capacity" => members.capacity = count_in(&directive, one, 1, 1_000_000)? as u32,
+                "probe" => members.probe = time_in(&directive, one, 20 * MS, 10 * S)?,
+                "suspicion" => members.suspicion = time_in(&directive, one, 100 * MS, 60 * S)?,
+                "greet" => members.greet = time_in(&directive, one, 100 * MS, 60 * S)?,
+                "settle" => members.settle = time_in(&directive, one, 100 * MS, 600 * S)?,
+                "forget" => members.forget = time_in(&directive, one, 60 * S, 30 * 24 * 3600 * S)?,
+                "calm" => members.calm = time_in(&directive, one, S, 3600 * S)?,
+                other => return Err(directive.mistake(format!("[members] has no directive {other}"))),
+            }
+        }
+        for name in ["cluster", "listen", "key-file", "expect"] {
+            if !section.has(name) {
+                return Err(section.mistake(&format!("[members] wants {name}")));
+            }
+        }
+        if !section.has("advertise") {
+            members.advertise = members.listen;
+        }
+        if members.advertise.ip().is_unspecified() {
+            return Err(section.mistake("advertise wants an address at which others reach this backend"));
+        }
+        if members.suspicion < 2 * members.probe {
+            return Err(section.mistake("suspicion lasts two probes at the least: see probe"));
+        }
+        Ok(members)
+    }
+}
--- a/conf/src/tests.rs
+++ b/conf/src/tests.rs
@@ -41,7 +41,7 @@
         (wrong("[queue ]"), "1: a section's name is empty"),
         (
             wrong("[brokers]"),
-            "1: there is no section [brokers]; there are [broker], [queue NAME], [changes], [recovery] and [log]",
+            "1: there is no section [brokers]; there are [broker], [queue NAME], [changes], [recovery], [members] and [log]",
         ),
         (wrong("[broker x]"), "1: [broker] takes no name"),
         (wrong("[queue a]"), "1: a queue wants the section [broker] before it"),
@@ -109,6 +109,22 @@
         (wrong("[recovery]\nkeep all"), "2: [recovery] has no directive keep"),
         (wrong("[recovery]\n[recovery]"), "2: there is a section [recovery] already"),
         (wrong("[recovery x]"), "1: [recovery] takes no name"),
+        (wrong("[members x]"), "1: [members] takes no name"),
+        (wrong("[members]\ncluster c"), "1: [members] wants listen"),
+        (wrong(&format!("{MEMBERS}[members]")), "6: there is a section [members] already"),
+        (wrong(&format!("{MEMBERS}expect 3")), "6: expect stands in line 5 already"),
+        (wrong(&format!("{MEMBERS}probe 1ms")), "6: probe lies between 20ms and 10s, not at 1ms"),
+        (wrong(&format!("{MEMBERS}suspicion 300ms")), "1: suspicion lasts two probes at the least: see probe"),
+        (wrong(&format!("{MEMBERS}leader n1")), "6: [members] has no directive leader"),
+        (
+            wrong(&format!("{MEMBERS}contact n1:7946")),
+            "6: contact wants ADDRESS:PORT, such as 10.0.0.7:5672, not \"n1:7946\"",
+        ),
+        (
+            wrong("[members]\ncluster c\nlisten 0.0.0.0:7946\nkey-file /k\nexpect 5"),
+            "1: advertise wants an address at which others reach this backend",
+        ),
+        (wrong("[members]\nkey-file k"), "2: key-file wants a path from the root, not \"k\""),
         (wrong("[log]\nformat xml"), "2: format is plain or json, not xml"),
         (wrong("[log]\nlevel 3"), "2: [log] has no directive level"),
         (after("redelivered maybe"), "7: redelivered is reject or run, not maybe"),
@@ -177,3 +193,20 @@
     let (snapshot, trust) = (2_000_000, 3_600_000_000);
     assert_eq!(told, crate::Recovery { snapshot, trust, first_calls: 3, repeats: 0, spread: 100 });
 }
+
+const MEMBERS: &str = "[members]\ncluster c\nlisten 127.0.0.1:7946\nkey-file /k\nexpect 5\n";
+
+#[test]
+fn members_are_as_the_section_says_and_nobody_is_known_without_it() {
+    let parse = |text: &str| crate::parse("x.conf", text).unwrap().members;
+    assert_eq!(parse("[recovery]"), None);
+    let plain = parse(MEMBERS).unwrap();
+    assert_eq!((plain.advertise, plain.expect, plain.probe), (plain.listen, 5, 200_000));
+    let told = parse(&format!(
+        "{MEMBERS}advertise 10.0.0.1:1\ncontact 10.0.0.2:1\ncontact 10.0.0.3:1\nzone a\ncapacity 4\nprobe 1s\n\
+         suspicion 5s\ngreet 2s\nsettle 3s\nforget 1d\ncalm 2m"
+    ));
+    let told = told.unwrap();
+    assert_eq!((told.contacts.len(), told.zone.as_str(), told.capacity), (2, "a", 4));
+    assert_eq!((told.suspicion, told.forget, told.calm), (5_000_000, 86_400_000_000, 120_000_000));
+}
--- a/conf/src/units.rs
+++ b/conf/src/units.rs
@@ -41,7 +41,7 @@
 fn shown(us: u64) -> String {
     let units =
         [(86_400_000_000, "d"), (3_600_000_000, "h"), (60_000_000, "m"), (1_000_000, "s"), (1_000, "ms")];
-    let fits = units.iter().find(|(size, _)| us >= *size && us % size == 0);
+    let fits = units.iter().find(|(size, _)| us >= *size && us.is_multiple_of(*size));
     fits.map_or(format!("{us}us"), |(size, unit)| format!("{}{unit}", us / size))
 }
 
--- a/daemon/src/below.rs
+++ b/daemon/src/below.rs
@@ -1,7 +1,7 @@
 //! The links to the layer below, as far as calls go by them: which one the next call takes, and when one is not
 //! used again.
 
-use crate::core::{LinkId, Wire};
+use crate::wire::{LinkId, Wire};
 use asterrill_engine::RouteId;
 
 /// A link below as far as calls go. A call has one to itself while there are enough: a reply that spoils its
--- a/daemon/src/change.rs
+++ b/daemon/src/change.rs
@@ -16,6 +16,7 @@
 use serde_json::{json, Value};
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 
 const SAMPLE: Us = 100_000; // between looks at what was served
 const SEAM: &str = "\n---\n"; // between the settings and the operator's file in a version's text
@@ -77,6 +78,8 @@
     Undo,
     Drop,
     History,
+    /// The others, as this backend knows them.
+    Members,
 }
 
 /// An answer: one JSON object, with `ok` and, where that is false, `error`.
@@ -176,6 +179,9 @@
         if content.text() == self.rollout.running().text {
             return;
         }
+        if !hub.changes.load(Ordering::Acquire) {
+            return warn!(hub.log, "the settings stay as they were"; "why" => "half of the members or fewer are seen");
+        }
         let staged = self.stage(hub, content, None, Wish::default());
         let told = if staged["ok"] == json!(true) { self.apply(hub, None, None) } else { staged };
         if told["ok"] != json!(true) {
@@ -185,6 +191,11 @@
 
     /// Does what an operator wants.
     pub fn want(&mut self, hub: &Hub, wanted: Wanted) -> Told {
+        // Cut off from the others, it goes back at the most: what is changed here would be changed here alone.
+        let alone = !hub.changes.load(Ordering::Acquire);
+        if alone && matches!(wanted, Wanted::Stage { .. } | Wanted::Apply { .. }) {
+            return refused("this backend sees half of its members or fewer: only undo and settle are taken");
+        }
         match wanted {
             Wanted::Stage { text, base, wish } => match self.read(&text) {
                 Ok(content) => self.stage(hub, content, base, wish),
@@ -192,6 +203,7 @@
             },
             Wanted::Apply { if_base, probation } => self.apply(hub, if_base, probation),
             Wanted::Status => self.status(hub),
+            Wanted::Members => refused("there is no section [members]"),
             Wanted::Settle => self.settle(hub, "asked for"),
             Wanted::Undo => self.undo(hub, "asked for"),
             Wanted::Drop => match self.rollout.drop_staged(now()) {
@@ -296,9 +308,11 @@
         if bare(&content.file) != bare(&running.file)
             || content.file.changes != running.file.changes
             || content.file.recovery != running.file.recovery
+            || content.file.members != running.file.members
         {
             return Err(Fault::new(
-                "[broker], [changes], [recovery] and [log] are taken up at the next start only".into(),
+                "[broker], [changes], [recovery], [members] and [log] are taken up at the next start only"
+                    .into(),
             ));
         }
         Ok(())
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -139,6 +139,7 @@
         Some("undo") => Ok(Wanted::Undo),
         Some("drop") => Ok(Wanted::Drop),
         Some("history") => Ok(Wanted::History),
+        Some("members") => Ok(Wanted::Members),
         other => Err(format!("{other:?} is not known")),
     }
 }
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -8,8 +8,8 @@
 use crate::returning::{Known, Returning};
 use crate::service::Service;
 use crate::sidecars::Sidecars;
+use crate::wire::{Asker, ConnId, LinkId, Place, Wire};
 use asterrill::{CallEnd, Final, MethodId, RpcId, RunEnd, Us};
-use asterrill_consumer::WorkId;
 use asterrill_engine::{Command, Engine, Outputs, Read, RouteId, Served, Terms};
 use asterrill_net::{Buf, Pool};
 use asterrill_protocol::agent::{self, NoticeId};
@@ -19,60 +19,6 @@
 use asterrill_settings::Server;
 use nanorand::{Rng, WyRand};
 
-/// A sidecar's connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ConnId(pub u64);
-
-/// A link to the layer below.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct LinkId(pub usize);
-
-/// Where an answer to a sidecar goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Place {
-    pub conn: ConnId,
-    pub stream: StreamId,
-}
-
-/// Who asked, of all fronts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Asker {
-    Sidecar(Place),
-    /// A message of a queue.
-    Queue(WorkId),
-}
-
-/// What the core has written. Each message is put out whole, at once; nothing here waits.
-pub trait Wire {
-    fn answer(&mut self, to: Place, answer: Final<'_>, credit: Option<f64>);
-    fn health(&mut self, to: Place, good: bool, credit: Option<f64>);
-    fn launch(&mut self, id: RpcId, method: &str, body: &[u8]);
-    fn stop(&mut self, id: RpcId);
-    fn deliver(&mut self, id: RpcId, reply: &[u8]);
-    fn skip(&mut self, id: RpcId, asked: NoticeId);
-    fn sample(&mut self, tag: u64);
-    fn exercise(&mut self, tag: u64);
-    /// False if it surely was not sent.
-    fn call(&mut self, link: LinkId, id: RpcId, wait: Us, body: &[u8]) -> bool;
-    fn give_up(&mut self, link: LinkId, id: RpcId);
-    /// Closes a link on which no call is in hand; it is made anew when it is needed. False if it isn't up.
-    fn close_link(&mut self, link: LinkId) -> bool;
-    /// Ends a connection of which nothing could be run.
-    fn distrust(&mut self, conn: ConnId);
-    /// The link to the agent is of no more use: it ends at once and is made anew.
-    fn end_agent(&mut self);
-    /// What the name service is to be told from now on.
-    fn serving(&mut self, yes: bool);
-    /// No new RPC is wanted on any connection.
-    fn leaving(&mut self);
-    fn close_idle(&mut self, span: Us);
-    fn log(&mut self, line: &str);
-    /// Bytes for the broker. False if they can't be sent: its connection ends then.
-    fn broker(&mut self, bytes: &[u8]) -> bool;
-    /// Ends the connection to the broker, at once or once all is written.
-    fn end_broker(&mut self, at_once: bool);
-}
-
 const EXERCISE: Us = 200_000; // a thorough check is answered by then
 const ASKING: usize = 64; // thorough checks that wait at a time; more are answered from store
 const IDS: usize = 4; // tried for a message of a queue, until it waits like one that was pushed back
@@ -108,6 +54,8 @@
     service: Service,
     stamps: Stamps,
     returning: Option<Returning>,
+    /// Of what the settings divide, this server's part over the even one; none where nobody tells.
+    part: Option<f64>,
     counters: Counters,
 }
 
@@ -259,6 +207,7 @@
                 service,
                 stamps: Stamps { module: 1, names: 1, queues: 1 },
                 returning: None,
+                part: None,
                 counters: Counters::default(),
             },
             now,
@@ -440,6 +389,13 @@
         Ok(())
     }
 
+    /// What members tell of each other comes down to this one figure.
+    pub fn share(&mut self, now: Us, part: f64, wire: &mut dyn Wire) {
+        if self.around.part.replace(part) != Some(part) {
+            self.with(now, wire, |engine, now, out| engine.share(now, part, out));
+        }
+    }
+
     /// How this server comes back is attended to from now on.
     pub fn come_back(&mut self, now: Us, returning: Returning, wire: &mut dyn Wire) {
         let care = returning.care();
@@ -663,6 +619,9 @@
             let (control, terms, server) = parts(server);
             self.around.server = server;
             self.with(now, wire, |engine, now, out| engine.restart(now, control, terms, out));
+            if let Some(part) = self.around.part {
+                self.with(now, wire, |engine, now, out| engine.share(now, part, out));
+            }
         }
         if self.around.up.is_none() {
             self.around.up = Some(self.now);
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -1,16 +1,18 @@
 //! Where the core meets the sockets: each input is brought to it alone, and what it has written goes into the
 //! outboxes. Nothing here waits, and nothing is decided.
 
-use crate::core::{ConnId, Core, LinkId, Place, Wire};
+use crate::core::Core;
 use crate::counters::Counters;
 use crate::queues::Queues;
+use crate::wire::{ConnId, LinkId, Place, Wire};
 use asterrill::{Final, RpcId, Us};
-use asterrill_net::{now, Bell, Outbox, Pool, Room, SIZE};
+use asterrill_net::{elapsed, now, Bell, Outbox, Pool, Room, SIZE};
 use asterrill_protocol::agent::{self, NoticeId};
 use asterrill_protocol::frames::{self, ANSWER_HEAD};
 use asterrill_protocol::records;
 use slog::{info, warn, Logger};
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 const HALF: Us = 1_500_000; // a frame that came by half is waited for so long
@@ -102,6 +104,8 @@
     ports: Ports,
     armed: Us,
     conns: u64,
+    /// Until when, by the clock that nobody sets, the part that members told is good.
+    lease: Us,
 }
 
 pub struct Hub {
@@ -116,6 +120,8 @@
     pub clock: Bell,
     /// Rings when the name service is to be told something new.
     pub naming: Bell,
+    /// Changes of the settings are taken: this one is not cut off from the others.
+    pub changes: AtomicBool,
 }
 
 impl Hub {
@@ -139,7 +145,7 @@
             log: log.clone(),
         };
         let ([pool, held], taken) = (pools, Room::new(room));
-        let inner = Inner { core, ports, armed: Us::MAX, conns: 0 };
+        let inner = Inner { core, ports, armed: Us::MAX, conns: 0, lease: Us::MAX };
         Hub {
             inner: Mutex::new(inner),
             pool,
@@ -148,6 +154,7 @@
             log,
             clock: Bell::default(),
             naming: Bell::default(),
+            changes: AtomicBool::new(true),
         }
     }
 
@@ -165,8 +172,13 @@
     /// Brings one input to the core. Held for the time of the input only, and never over a wait.
     pub fn with<R>(&self, input: impl FnOnce(&mut Core, &mut dyn Wire, Us) -> R) -> R {
         let mut inner = self.inner();
-        let Inner { core, ports, armed, .. } = &mut *inner;
+        let Inner { core, ports, armed, lease, .. } = &mut *inner;
         let told = ports.serving;
+        if *lease != Us::MAX && elapsed() > *lease {
+            // Whatever it was told is not known any more: it was paused, or starved.
+            *lease = Us::MAX;
+            core.share(now(), asterrill_membership::SLICES, ports);
+        }
         let result = input(core, ports, now());
         ports.version = core.version();
         ports.finish(core);
@@ -181,6 +193,12 @@
         result
     }
 
+    /// The part that was told last is good until then, by [`elapsed`]; and whether changes are taken here.
+    pub fn lease(&self, until: Us, changes: bool) {
+        self.inner().lease = until;
+        self.changes.store(changes, Ordering::Release);
+    }
+
     /// The clock is set to what the core wants next; hands that back.
     pub fn arm(&self, least: Us) -> Us {
         let mut inner = self.inner();
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -9,6 +9,7 @@
 mod notices;
 mod operator;
 mod parties;
+mod peers;
 mod queues;
 mod returning;
 mod service;
@@ -16,13 +17,16 @@
 mod store;
 #[cfg(test)]
 mod tests;
+mod wire;
 
 use crate::change::{Changes, Content, Told, Wanted};
-use crate::core::{ConnId, Core, LinkId};
+use crate::core::Core;
 use crate::hub::{buffers, Hub};
 use crate::parties::{report, Agent, Below, Broker, Sidecar};
+use crate::peers::{Begin as Meet, Peers};
 use crate::returning::{Returning, Start as Begun};
-use crate::store::{find_learned, Store};
+use crate::store::{find_learned, find_members, Store};
+use crate::wire::{ConnId, LinkId};
 use asterrill::Us;
 use asterrill_conf::{File, Form};
 use asterrill_net::{drive, hold, listen, now, spawn, wait_until, Address, End, Outbox, Pause, Pool};
@@ -118,6 +122,9 @@
     let server = asterrill_settings::server(now(), to.seed, &to.server, None)?;
     let bodies = buffers(to.memory_mb) as u64;
     let broker = operator::queues(now(), &operator, &server, to.seed, bodies)?;
+    if let Some(members) = &operator.members {
+        peers::check(&to.name, members)?;
+    }
     if arguments.check {
         return Ok(());
     }
@@ -162,6 +169,15 @@
     let store = operator.changes.state.as_deref().map(|dir| Store::start(dir, log)).transpose()?;
     let terms =
         change::Terms { probation: operator.changes.probation, factor: operator.changes.factor as f64 };
+    let peers = match &operator.members {
+        Some(file) => {
+            let kept = operator.changes.state.as_deref().and_then(|dir| find_members(dir, log));
+            let (peers, socket) = Peers::open(Meet { name: &to.name, file, kept, seed: own }, log)?;
+            peers.live(socket, &hub, store.clone())?;
+            Some(peers)
+        }
+        None => None,
+    };
     let changes = Changes::new(start, number, undone, terms, to.seed, store)?;
     if let Some(path) = &operator.changes.control {
         let (orders, hub) = (orders.clone(), hub.clone());
@@ -178,8 +194,8 @@
 
     {
         let (hub, orders, places) = (hub.clone(), orders.clone(), places.clone());
-        let (handle, stop) = (signals.handle(), to.stop);
-        spawn("clock", move || clock(&hub, &orders, &places, stop, changes, &handle))?;
+        let (handle, stop, peers) = (signals.handle(), to.stop, peers.clone());
+        spawn("clock", move || clock(&hub, &orders, &places, stop, changes, peers, &handle))?;
     }
     {
         let (hub, seed, params) = (hub.clone(), to.seed, to.server.clone());
@@ -249,7 +265,9 @@
         match signal {
             SIGTERM => orders.lock().leave = true,
             SIGHUP => orders.lock().reload = Some(told()),
-            _ => info!(log, "counters"; "of" => hub.counters()),
+            _ => {
+                info!(log, "counters"; "of" => hub.counters(), "members" => peers.as_ref().map(|p| p.counters()))
+            }
         }
         hub.clock.ring();
     }
@@ -384,7 +402,10 @@
 }
 
 /// Lets time pass for the core, and ends the program once it has left.
-fn clock(hub: &Hub, orders: &Orders, places: &Places, mut stop: Us, mut changes: Changes, handle: &Handle) {
+fn clock(
+    hub: &Hub, orders: &Orders, places: &Places, mut stop: Us, mut changes: Changes,
+    peers: Option<Arc<Peers>>, handle: &Handle,
+) {
     let mut left = false;
     hub.clock.attend();
     hub.with(|core, wire, now| core.start(now, wire));
@@ -396,8 +417,12 @@
             reload(hub, places, &mut stop, to, &mut changes);
         }
         for (wanted, told) in order.wants {
+            let answer = match (&wanted, &peers) {
+                (Wanted::Members, Some(peers)) => peers.told(),
+                _ => changes.want(hub, wanted),
+            };
             // Whoever asked may have gone meanwhile.
-            told.try_send(changes.want(hub, wanted)).unwrap_or_default();
+            told.try_send(answer).unwrap_or_default();
         }
         // Of the moment before it leaves: what a drain does to the figures is not worth learning.
         let leaving = order.leave && !std::mem::replace(&mut left, true);
@@ -406,6 +431,7 @@
         }
         if order.leave {
             changes.leave();
+            peers.iter().for_each(|peers| peers.leave());
             hub.with(|core, wire, now| core.drain(now, stop, wire));
         }
         if now() > at.saturating_add(LATE) {
--- a/daemon/src/parties.rs
+++ b/daemon/src/parties.rs
@@ -1,8 +1,8 @@
 //! Who is at the other end of each connection: bytes go through the state machine of its protocol, and the
 //! messages to the core.
 
-use crate::core::{ConnId, LinkId, Place};
 use crate::hub::Hub;
+use crate::wire::{ConnId, LinkId, Place};
 use asterrill::Us;
 use asterrill_net::{exchange, now, wait_until, Address, Outbox, Party, Pause, Peer};
 use asterrill_protocol::agent::{self, Notice};
--- /dev/null
+++ b/daemon/src/peers.rs
@@ -0,0 +1,250 @@
+//! How this backend knows the others: the state machine of `asterrill-membership`, joined to a socket for datagrams, to
+//! the core and to the operators. Its own lock, its own coroutines: no RPC ever waits for it.
+
+use crate::hub::Hub;
+use crate::store::Store;
+use asterrill::Us;
+use asterrill_membership::{
+    conduct, Changes, Counts, Event, Id, Kept, Members, Name, Seal, Shown, Standing, Terms,
+};
+use asterrill_net::{elapsed, now, spawn, wait_until, Bell, Datagrams};
+use asterrill_settings::Fault;
+use serde_json::{json, Value};
+use slog::{info, warn, Logger};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+const KEEP: Us = 10_000_000; // between looks at whether what is kept has changed
+const LINES: usize = 20; // events in the log for each turn; more are counted only
+const WAITING: usize = 4_096; // datagrams that wait to be sent; beyond it the oldest are lost, as on the way
+
+/// What is behind the lock.
+struct Inner {
+    members: Members,
+    out: VecDeque<(SocketAddr, Vec<u8>)>,
+    left: bool,
+    /// Events that were not logged one by one.
+    untold: u64,
+}
+
+/// The others, as this backend knows them.
+pub struct Peers {
+    inner: Mutex<Inner>,
+    clock: Bell,
+    expect: usize,
+    /// A part that was not looked at for so long is not this one's any more.
+    lasting: Us,
+    log: Logger,
+}
+
+/// What a start needs of the operator's file and of before.
+pub struct Begin<'a> {
+    pub name: &'a str,
+    pub file: &'a asterrill_conf::Members,
+    pub kept: Option<Kept>,
+    pub seed: u64,
+}
+
+/// Whether the key may be read and the name is one.
+pub fn check(name: &str, file: &asterrill_conf::Members) -> Result<(Name, String), Fault> {
+    let key = asterrill_conf::read_secret(&file.key_file).map_err(|fault| Fault::new(fault.to_string()))?;
+    let name = Name::new(name).ok_or_else(|| Fault::new(format!("name {name:?} is none for a member")))?;
+    Ok((name, key))
+}
+
+impl Peers {
+    /// Opens the socket, so that a failure shows before anything else starts.
+    pub fn open(begin: Begin<'_>, log: &Logger) -> Result<(Arc<Peers>, Datagrams), Fault> {
+        let file = begin.file;
+        let (name, key) = check(begin.name, file)?;
+        let (start, agreed, at) = Kept::weigh(begin.kept, now(), file.forget);
+        let own =
+            Id { name, at: file.advertise, start, turn: 0, zone: file.zone.clone(), capacity: file.capacity };
+        let terms = Terms {
+            probe: file.probe,
+            suspicion: file.suspicion,
+            greet: file.greet,
+            settle: file.settle,
+            forget: file.forget,
+            calm: file.calm,
+            expect: file.expect,
+        };
+        let seal = Seal::new(key.as_bytes(), &file.cluster, begin.name, start);
+        let contacts = file.contacts.iter().copied().chain(at).collect();
+        let members = Members::new(elapsed(), own, seal, terms, contacts, agreed, begin.seed);
+        let socket = Datagrams::bind(file.listen);
+        let socket = socket.map_err(|e| Fault::new(format!("[members] listen {}: {e}", file.listen)))?;
+        let inner = Inner { members, out: VecDeque::new(), left: false, untold: 0 };
+        let peers = Peers {
+            inner: Mutex::new(inner),
+            clock: Bell::default(),
+            expect: file.expect,
+            lasting: file.suspicion,
+            log: log.clone(),
+        };
+        info!(log, "members are talked to"; "cluster" => &file.cluster, "listen" => %file.listen,
+            "advertise" => %file.advertise, "start" => start, "expect" => file.expect);
+        Ok((Arc::new(peers), socket))
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Starts the coroutines: one reads, one lets time pass and sends.
+    pub fn live(
+        self: &Arc<Peers>, socket: Datagrams, hub: &Arc<Hub>, store: Option<Store>,
+    ) -> std::io::Result<()> {
+        let (peers, from) = (self.clone(), socket.again()?);
+        spawn("members", move || {
+            from.receive(|from, bytes| {
+                let mut inner = peers.inner();
+                inner.members.datagram(elapsed(), from, bytes);
+                drop(inner);
+                peers.clock.ring();
+            });
+        })?;
+        let (peers, hub) = (self.clone(), hub.clone());
+        spawn("members' clock", move || peers.attend(&socket, &hub, store))
+    }
+
+    fn attend(&self, socket: &Datagrams, hub: &Hub, store: Option<Store>) {
+        self.clock.attend();
+        let (mut keep, mut kept) = (elapsed(), Kept::default());
+        loop {
+            let at = elapsed();
+            let (out, events, next, does, left) = {
+                let mut inner = self.inner();
+                if inner.members.next() <= at {
+                    inner.members.tick(at);
+                }
+                let fresh = inner.members.take_out();
+                inner.out.extend(fresh);
+                let over = inner.out.len().saturating_sub(WAITING);
+                inner.out.drain(..over);
+                let (out, events) = (std::mem::take(&mut inner.out), inner.members.take_events());
+                let members = &inner.members;
+                let does = conduct(members.view(), members.part(), self.expect, members.size());
+                (out, events, inner.members.next(), does, inner.left)
+            };
+            // The core learns of a smaller part before anybody else learns anything. It is good for so long only: what
+            // is paused, or does not come to look, has nothing when it wakes.
+            hub.lease(at.saturating_add(self.lasting), does.changes == Changes::Any);
+            hub.with(|core, wire, now| core.share(now, does.part, wire));
+            for (to, bytes) in out {
+                socket.send(to, &bytes);
+            }
+            self.tell(events);
+            if at >= keep {
+                keep = at + KEEP;
+                if let Some(store) = &store {
+                    let (agreed, mut all) = self.inner().members.to_keep();
+                    all.sort_unstable();
+                    let start = self.inner().members.own().start;
+                    let fresh = Kept { start, wall: 0, agreed: agreed.into_iter().collect(), at: all };
+                    if fresh != kept {
+                        store.keep_members(Kept { wall: now(), ..fresh.clone() }.write());
+                        kept = fresh;
+                    }
+                }
+            }
+            if left {
+                return;
+            }
+            // Never later than a part is good for, by a wide margin.
+            let wait = next.saturating_sub(elapsed()).min(self.lasting / 4);
+            wait_until(now() + wait.max(1_000));
+        }
+    }
+
+    fn tell(&self, events: Vec<Event>) {
+        let many = events.len();
+        for event in events.into_iter().take(LINES) {
+            let log = &self.log;
+            match event {
+                Event::Up { name, at, start } => {
+                    info!(log, "member up"; "member" => %name, "at" => %at, "start" => start)
+                }
+                Event::Suspect { name, why } => {
+                    info!(log, "member suspected"; "member" => %name, "why" => why)
+                }
+                Event::Failed { name } => info!(log, "member failed"; "member" => %name),
+                Event::Left { name } => info!(log, "member left"; "member" => %name),
+                Event::Flaps { name } => {
+                    warn!(log, "member comes and goes: it does not count until it is calm";
+                    "member" => %name)
+                }
+                Event::Calm { name } => info!(log, "member is calm again"; "member" => %name),
+                Event::Twin { at, out } => {
+                    warn!(log, "another process goes by this member's name"; "at" => %at, "this one stays out" => out)
+                }
+                Event::Doubted => warn!(log, "the others had taken this one for failed"),
+                Event::Paused { span } => {
+                    warn!(log, "this process stood still: nothing is believed until a majority has answered";
+                        "ms" => span / 1_000)
+                }
+                Event::View { view, evidence } => {
+                    let missing: Vec<&str> = evidence.missing.iter().map(Name::as_str).collect();
+                    info!(log, "view"; "view" => view.name(), "there" => evidence.there, "of" => evidence.of,
+                        "missing" => missing.join(" "))
+                }
+                Event::Part { of_1000 } => info!(log, "part of what is shared"; "of 1000" => of_1000),
+            }
+        }
+        self.inner().untold += many.saturating_sub(LINES) as u64;
+    }
+
+    /// This backend leaves, and says so.
+    pub fn leave(&self) {
+        let mut inner = self.inner();
+        inner.members.leave(elapsed());
+        inner.left = true;
+        drop(inner);
+        self.clock.ring();
+    }
+
+    /// For operators: the view, and each member.
+    pub fn told(&self) -> Value {
+        let inner = self.inner();
+        let (members, at) = (&inner.members, elapsed());
+        let ago = |us: Us| at.saturating_sub(us) / 1_000;
+        let evidence = members.evidence();
+        let own = members.own();
+        let does = conduct(members.view(), members.part(), self.expect, members.size());
+        let one = |m: &Shown| {
+            let standing = match m.standing {
+                Standing::Alive => "alive",
+                Standing::Suspect => "suspect",
+                Standing::Failed => "failed",
+                Standing::Left => "left",
+            };
+            json!({"name": m.id.name.as_str(), "at": m.id.at.to_string(), "start": m.id.start,
+                "incarnation": m.id.turn, "zone": m.id.zone, "capacity": m.id.capacity, "standing": standing,
+                "since_ms": ago(m.since), "heard_ms": m.heard.map(ago), "round_trip_us": m.round_trip,
+                "why": m.why, "flaps": m.flaps})
+        };
+        json!({"ok": true,
+            "view": {"name": members.view().name(), "there": evidence.there, "of": evidence.of,
+                "since_ms": ago(evidence.since),
+                "missing": evidence.missing.iter().map(Name::as_str).collect::<Vec<_>>()},
+            "own": {"name": own.name.as_str(), "at": own.at.to_string(), "start": own.start,
+                "incarnation": own.turn, "out": members.is_out()},
+            "part": does.part, "transition_ms": members.transition() / 1_000,
+            "members": members.shown().iter().map(one).collect::<Vec<_>>(),
+            "counters": counted(&members.counts, inner.untold)})
+    }
+
+    /// What was counted, as one line.
+    pub fn counters(&self) -> String {
+        let inner = self.inner();
+        counted(&inner.members.counts, inner.untold).to_string()
+    }
+}
+
+fn counted(counts: &Counts, untold: u64) -> Value {
+    json!({"sent": counts.sent, "sent_bytes": counts.sent_bytes, "taken": counts.taken, "short": counts.short,
+        "foreign": counts.foreign, "forged": counts.forged, "replayed": counts.replayed,
+        "flooded": counts.flooded, "odd": counts.odd, "full": counts.full, "pauses": counts.pauses,
+        "untold": untold})
+}
--- a/daemon/src/sidecars.rs
+++ b/daemon/src/sidecars.rs
@@ -1,6 +1,6 @@
 //! What is known of the sidecars' connections: whether the agent knows of whoever is at the other end.
 
-use crate::core::ConnId;
+use crate::wire::ConnId;
 use std::collections::BTreeMap;
 
 const NONSENSE: u32 = 4; // RPCs that could not be run: a connection that brought nothing else is closed
--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -1,6 +1,7 @@
 //! What lasts, on disk: versions of the configuration, and what was learned. Written by one thread of its own, whole or
 //! not at all, the newest wish first; versions before anything else.
 
+use asterrill_membership::Kept;
 use asterrill_recovery::{Learned, MOST};
 use asterrill_rollout::{recover, Recovered};
 use slog::{warn, Logger};
@@ -10,6 +11,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 
+const MEMBERS: &str = "members"; // the file of who was there
+const FORMAT: u32 = 1; // of it
 const LEARNED: &str = "learned"; // the file of what was learned
 
 /// What is to stand on disk: the last good version, and the one on probation.
@@ -24,6 +27,7 @@
 struct Wanted {
     records: Option<Records>,
     learned: Option<Learned>,
+    members: Option<String>,
 }
 
 #[derive(Default)]
@@ -34,6 +38,7 @@
 }
 
 /// A directory where versions are kept.
+#[derive(Clone)]
 pub struct Store(Arc<Desk>);
 
 /// What a start finds: the last good version, and what was on probation when the process ended.
@@ -62,6 +67,26 @@
     read.ok()
 }
 
+/// Reads who was there before. What can't be used is told, and is as if it were not there.
+pub fn find_members(dir: &Path, log: &Logger) -> Option<Kept> {
+    let path = dir.join(MEMBERS);
+    let mut text = String::new();
+    match File::open(&path).and_then(|file| file.take(MOST as u64 + 1).read_to_string(&mut text)) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return None,
+        Err(e) => {
+            warn!(log, "who was there before is not known"; "path" => %path.display(), "why" => %e);
+            return None;
+        }
+        Ok(_) => {}
+    }
+    let body = asterrill_recovery::open(MEMBERS, FORMAT, &text).map_err(|e| e.to_string());
+    let read = body.and_then(|body| Kept::read(body).ok_or_else(|| "a line is not understood".to_string()));
+    if let Err(why) = &read {
+        warn!(log, "who was there before is not known"; "path" => %path.display(), "why" => why);
+    }
+    read.ok()
+}
+
 /// Reads what an earlier process has left. What can't be used is told, and is as if it were not there.
 pub fn find(dir: &Path, log: &Logger) -> Found {
     let read = |name: &str| {
@@ -103,6 +128,11 @@
         self.0.wanted().learned = Some(learned);
         self.0.news.notify_one();
     }
+    /// The same for who was there.
+    pub fn keep_members(&self, text: String) {
+        self.0.wanted().members = Some(text);
+        self.0.news.notify_one();
+    }
     /// Times that it could not be written.
     pub fn failed(&self) -> u64 {
         self.0.failed.load(Ordering::Relaxed)
@@ -119,14 +149,19 @@
     let mut told = 0_u64; // a directory that stays full or read-only is told of at its first, second, fourth failure
     loop {
         let mut wanted = desk.wanted();
-        while wanted.records.is_none() && wanted.learned.is_none() {
+        while wanted.records.is_none() && wanted.learned.is_none() && wanted.members.is_none() {
             wanted = desk.news.wait(wanted).unwrap_or_else(|e| e.into_inner());
         }
         let (records, learned) = (wanted.records.take(), wanted.learned.take());
+        let members = wanted.members.take();
         drop(wanted);
         let versions = records.map_or(Ok(()), |records| write(dir, &records));
         let learned = learned.map_or(Ok(()), |learned| put(dir, &dir.join(LEARNED), &learned.write()));
-        for fault in [versions, learned].into_iter().filter_map(Result::err) {
+        let members = members.map_or(Ok(()), |text| {
+            let sealed = asterrill_recovery::seal(MEMBERS, FORMAT, &text);
+            put(dir, &dir.join(MEMBERS), &sealed)
+        });
+        for fault in [versions, learned, members].into_iter().filter_map(Result::err) {
             let failed = desk.failed.fetch_add(1, Ordering::Relaxed) + 1;
             if failed >= told * 2 {
                 told = failed;
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -1,7 +1,8 @@
 //! The core against a stand-in for the agent, the layer below and the sidecars: seeded random runs with the
 //! rules checked after every step, and plain cases.
 
-use crate::core::{ConnId, Core, LinkId, Place, Wire};
+use crate::core::Core;
+use crate::wire::{ConnId, LinkId, Place, Wire};
 use asterrill::{CallEnd, CallerId, Final, RpcId, RunEnd, Us};
 use asterrill_net::Pool;
 use asterrill_protocol::agent::NoticeId;
@@ -364,7 +365,7 @@
         match what % 16 {
             0..=3 => {
                 let method = ["look", "look", "book"][n % 3];
-                let key = Some((n % 4) as u64).filter(|_| n % 2 == 0);
+                let key = Some((n % 4) as u64).filter(|_| n.is_multiple_of(2));
                 self.ask(n as u64 % 3, method, [60, 400, 900][n / 3 % 3] * MS, key);
             }
             4 | 5 => self.play(n, false),
@@ -373,11 +374,12 @@
             9 => self.reply(n, [CallEnd::Ok, CallEnd::Ok, CallEnd::TimedOut, CallEnd::PushedBack][n % 4]),
             10 => {
                 let count = self.asks.len().max(1);
-                if let Some(place) = self.asks.keys().nth(n % count).copied().filter(|_| n % 3 == 0) {
+                if let Some(place) = self.asks.keys().nth(n % count).copied().filter(|_| n.is_multiple_of(3))
+                {
                     self.gone(place);
                 }
             }
-            11 if n % 4 == 0 => {
+            11 if n.is_multiple_of(4) => {
                 let on: Vec<Place> = self.asks.keys().filter(|p| p.conn.0 == n as u64 % 3).copied().collect();
                 for place in on {
                     if let Some((_, gone)) = self.asks.get_mut(&place) {
@@ -386,17 +388,17 @@
                 }
                 self.core.conn_ended(self.now, ConnId(n as u64 % 3), &mut self.out);
             }
-            12 if n % 3 == 0 => self.out.deaf = true,
+            12 if n.is_multiple_of(3) => self.out.deaf = true,
             12 => self.link_up(),
             11 if n % 4 == 1 => self.change(n / 4),
-            13 if n % 8 == 0 => {
+            13 if n.is_multiple_of(8) => {
                 let link = LinkId(n / 8 % 4);
                 self.out.called.retain(|_, on| *on != link);
-                self.core.link_ended(self.now, link, n % 16 == 0, &mut self.out);
+                self.core.link_ended(self.now, link, n.is_multiple_of(16), &mut self.out);
                 self.core.link_ready(link);
-                self.out.refuses = n % 3 == 0;
+                self.out.refuses = n.is_multiple_of(3);
             }
-            14 if n % 50 == 0 && self.killed.is_none() => {
+            14 if n.is_multiple_of(50) && self.killed.is_none() => {
                 self.killed = Some(self.now + 1_500 * MS);
                 self.core.drain(self.now, 1_500 * MS, &mut self.out);
             }
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -189,6 +189,13 @@
         self.carry(outcome, out);
     }
 
+    /// This server's part of what the settings divide among servers: see [`Control::share`].
+    pub fn share(&mut self, now: Us, part: f64, out: &mut dyn Outputs<P>) {
+        self.pass(now);
+        let outcome = self.control.share(self.now, part);
+        self.carry(outcome, out);
+    }
+
     /// From now on the gauges can be had.
     pub fn attended(&mut self) {
         self.attended = true;
--- a/engine/src/tests.rs
+++ b/engine/src/tests.rs
@@ -188,7 +188,7 @@
                     self.engine.call_ended(self.now, by, id, end, b"reply", &mut self.ledger);
                 }
             }
-            6 => self.ledger.deaf = n % 4 == 0,
+            6 => self.ledger.deaf = n.is_multiple_of(4),
             _ => self.pass(n as Us % 40 * MS),
         }
         self.check();
--- a/lab/src/amqp.rs
+++ b/lab/src/amqp.rs
@@ -69,6 +69,7 @@
         loses: None,
         ramp: ms(1_000),
         skips: 0.0,
+        shared: None,
     }
 }
 
--- a/lab/src/broker.rs
+++ b/lab/src/broker.rs
@@ -517,7 +517,7 @@
                 let again = message.delivered > 0;
                 state.ledger.redeliveries += u64::from(again);
                 let every = state.script.twice;
-                if again && every > 0 && state.ledger.redeliveries % every == 0 {
+                if again && every > 0 && state.ledger.redeliveries.is_multiple_of(every) {
                     twice = Some(message.clone());
                 }
                 chan.next_tag += 1;
--- a/lab/src/config.rs
+++ b/lab/src/config.rs
@@ -114,6 +114,7 @@
         loses: None,
         ramp: ms(1_000),
         skips: 0.0,
+        shared: None,
     };
     let password = broker.map_or(String::new(), |broker| broker.state().password.clone());
     let world = World::start(&setup, &password)?;
--- a/lab/src/fleet/callers.rs
+++ b/lab/src/fleet/callers.rs
@@ -37,8 +37,8 @@
     pub rpcs: u64,
     pub ok: u64,
     pub failed: u64,
-    /// Tries that were written whole, on a connection that stood, and got no answer by their patience.
-    pub no_final_answer: u64,
+    /// Tries that were written whole, on a connection that stood, and got no answer by their patience: to whom, when sent.
+    pub unanswered: Vec<(usize, Instant)>,
     pub answered_twice: u64,
     /// Answers with what no run made for them.
     pub wrong: u64,
@@ -112,7 +112,7 @@
 struct Line {
     to: TcpStream,
     next: u32,
-    open: BTreeMap<u32, (u64, Instant)>, // the RPC, and until when an answer is owed
+    open: BTreeMap<u32, (u64, Instant)>, // the RPC, and when it was sent
     answered: u32,
     leaving: bool,
     credit: Option<f64>,
@@ -238,8 +238,9 @@
             Wake::Try(rpc) => self.attempt(rpc),
             Wake::Due { node, line, stream } => {
                 let Some((number, open)) = self.lines.get_mut(&node) else { return };
-                if *number == line && open.open.remove(&stream).is_some() {
-                    self.note(|ledger| ledger.no_final_answer += 1);
+                if *number == line {
+                    let sent = open.open.remove(&stream).map(|(_, sent)| (node, sent));
+                    self.note(|ledger| ledger.unanswered.extend(sent));
                 }
             }
             Wake::Over(rpc) => self.over(rpc, false),
@@ -361,7 +362,7 @@
         let Some((line, to)) = self.lines.get_mut(&node) else { return };
         to.next += 1;
         let (line, stream) = (*line, to.next);
-        to.open.insert(stream, (rpc, now + left));
+        to.open.insert(stream, (rpc, now));
         if to.to.write_all(&request(stream, &fields, &body)).is_err() {
             to.to.shutdown(Shutdown::Both).unwrap_or_default();
         }
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! Several real processes among stand-ins, with faults between them. Issues of the whole fleet share this rig.
 
 pub mod callers;
+pub mod members;
+pub mod mesh;
 pub mod parties;
 pub mod plot;
 pub mod relay;
@@ -10,6 +12,7 @@
 use crate::report::Fault;
 use crate::world::{Agent, Cold, Method, Node, Setup, Stand};
 use callers::{Callers, Habits, Targets};
+use mesh::Mesh;
 use parties::{Below, Naming};
 use relay::Relay;
 use std::collections::BTreeMap;
@@ -36,6 +39,8 @@
     pub below: Below,
     pub naming: Naming,
     pub start: Instant,
+    /// Between the processes, where they talk to each other.
+    pub mesh: Option<Mesh>,
     cold: Cold,
 }
 
@@ -48,6 +53,8 @@
     /// Calls at a time that the layer below can do, and how long each takes.
     pub slots: usize,
     pub call: Duration,
+    /// Processes talk to each other, over relays with this seed.
+    pub mesh: Option<u64>,
 }
 
 /// An address that no connection of the system's choosing ever takes.
@@ -55,7 +62,12 @@
     let process = std::process::id();
     let (a, b) = (20 + (process / 250 % 200) as u8, (process % 250) as u8 + 1);
     let at = SocketAddr::from(([127, a, b, n as u8 + 1], 7_000));
-    Stand { name: format!("n{n}"), at }
+    Stand { name: format!("n{n}"), at, words: Vec::new() }
+}
+
+/// Where a member takes datagrams.
+fn datagrams(n: usize) -> SocketAddr {
+    SocketAddr::from((stand(n).at.ip(), 7_946))
 }
 
 impl Fleet {
@@ -63,12 +75,21 @@
         let start = Instant::now();
         let below = Below::start(start, plan.slots, plan.call)?;
         let naming = Naming::start(start)?;
+        let own: Vec<SocketAddr> = (0..plan.nodes).map(datagrams).collect();
+        let mesh = plan.mesh.map(|seed| Mesh::start(&own, seed)).transpose()?;
         let mut members = Vec::new();
-        for n in 0..plan.nodes {
+        for (n, own) in own.iter().enumerate() {
             let agent = Agent::start(plan.setup.cores, &plan.setup.methods)?;
             let [to_agent, to_below, to_naming] =
                 [Relay::start(agent.at)?, Relay::start(below.at)?, Relay::start(naming.at)?];
-            let node = Node::begin(&plan.setup, &stand(n), to_agent.at, to_below.at, to_naming.at, "none")?;
+            let mut stand = stand(n);
+            if let Some(mesh) = &mesh {
+                let contacts: String = mesh.at.iter().take(3).map(|at| format!("contact {at}\n")).collect();
+                let words = [("{own}", own.to_string()), ("{relay}", mesh.at[n].to_string())];
+                let words = words.into_iter().chain([("{contacts}", contacts)]);
+                stand.words = words.map(|(word, means)| (word.into(), means)).collect();
+            }
+            let node = Node::begin(&plan.setup, &stand, to_agent.at, to_below.at, to_naming.at, "none")?;
             members.push(Member {
                 node,
                 agent,
@@ -82,7 +103,7 @@
         for member in &members {
             member.node.listens()?;
         }
-        Ok(Fleet { members, below, naming, start, cold: plan.cold })
+        Ok(Fleet { members, below, naming, start, mesh, cold: plan.cold })
     }
 
     pub fn targets(&self) -> Targets {
@@ -118,9 +139,11 @@
     }
 }
 
-/// The mean work of one RPC, by the weights of what is asked.
+/// The mean work of one RPC, by the weights of what is asked. A run that calls takes its work before the call, and
+/// again after it, as [`Agent`] has it.
 pub fn mean_work(methods: &[Method], weights: &[u32]) -> Duration {
     let total: u32 = weights.iter().sum();
-    let sum: f64 = methods.iter().zip(weights).map(|(m, w)| m.work.as_secs_f64() * f64::from(*w)).sum();
+    let work = |m: &Method| m.work.as_secs_f64() * if m.calls { 2.0 } else { 1.0 };
+    let sum: f64 = methods.iter().zip(weights).map(|(m, w)| work(m) * f64::from(*w)).sum();
     Duration::from_secs_f64(sum / f64::from(total.max(1)))
 }
--- a/lab/src/fleet/parties.rs
+++ b/lab/src/fleet/parties.rs
@@ -39,6 +39,9 @@
     start: Instant,
     /// Calls that came, by tenths of a second since the start.
     pub came: Vec<u32>,
+    /// Calls in hand, in seconds of one, by such tenths; and up to when that is counted.
+    pub held: Vec<f64>,
+    counted: Instant,
     /// The tenths in which a call had to wait, or was turned away.
     full: std::collections::BTreeSet<usize>,
     pub turned_away: u64,
@@ -53,6 +56,19 @@
     pub fn was_free(&self, tenths: std::ops::RangeInclusive<usize>) -> bool {
         self.full.range(tenths).next().is_none()
     }
+    /// Counts what was in hand since the last time.
+    fn count(&mut self) {
+        let (now, in_hand) = (Instant::now(), (self.waiting.len() + self.due.len()) as f64);
+        while self.counted < now {
+            let tenth = (self.counted - self.start).as_millis() as usize / 100;
+            let edge = self.start + Duration::from_millis((tenth as u64 + 1) * 100);
+            let until = edge.min(now);
+            let most = self.held.len().max(tenth + 1);
+            self.held.resize(most, 0.0);
+            self.held[tenth] += in_hand * (until - self.counted).as_secs_f64();
+            self.counted = until;
+        }
+    }
     /// It starts anew: nothing is known of calls before.
     pub fn empty(&mut self, speed: f64) {
         self.waiting.clear();
@@ -66,7 +82,11 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let (waiting, due, came) = (VecDeque::new(), BTreeMap::new(), Vec::new());
         let (speed, next, full, turned_away) = (1.0, 0, Default::default(), 0);
-        let desk = Desk { slots, work, speed, waiting, due, next, start, came, full, turned_away };
+        let (held, counted) = (Vec::new(), start);
+        #[rustfmt::skip]
+        let desk = Desk {
+            slots, work, speed, waiting, due, next, start, came, held, counted, full, turned_away,
+        };
         let (inner, ends) = (Arc::new((Mutex::new(desk), Condvar::new())), Arc::default());
         let below = Below { at: listener.local_addr()?, inner, ends };
         let (serves, works) = (below.clone(), below.clone());
@@ -110,6 +130,7 @@
                     let mut body = vec![0; length.parse::<usize>().unwrap_or(0) + 2];
                     from.read_exact(&mut body)?;
                     let mut desk = self.desk();
+                    desk.count();
                     let tenth = desk.start.elapsed().as_millis() as usize / 100;
                     let most = desk.came.len().max(tenth + 1);
                     desk.came.resize(most, 0);
@@ -132,7 +153,11 @@
                     drop(desk);
                     self.inner.1.notify_one();
                 }
-                ["UNOP", id] => self.desk().waiting.retain(|call| call.id != id),
+                ["UNOP", id] => {
+                    let mut desk = self.desk();
+                    desk.count();
+                    desk.waiting.retain(|call| call.id != id);
+                }
                 _ => return Ok(()),
             }
         }
@@ -142,6 +167,7 @@
         let mut desk = self.desk();
         while !self.ends.load(Ordering::Acquire) {
             let now = Instant::now();
+            desk.count();
             let mut done = Vec::new();
             while let Some(entry) = desk.due.first_entry().filter(|entry| entry.key().0 <= now) {
                 done.push(entry.remove());
--- a/lab/src/fleet/returns.rs
+++ b/lab/src/fleet/returns.rs
@@ -16,7 +16,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-const fn ms(n: u64) -> Duration {
+pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
@@ -33,18 +33,20 @@
     StateLost,
     /// The layer below is away, and comes back empty and at a third of its speed
     BelowLost,
+    /// Some stand still for ten seconds, or start anew beside an agent that goes on, or lose a way of their link to it
+    Odd,
 }
 
-const KINDS: [Kind; 5] = [Kind::All, Kind::Most, Kind::Rolling, Kind::StateLost, Kind::BelowLost];
+const KINDS: [Kind; 6] = [Kind::All, Kind::Most, Kind::Rolling, Kind::StateLost, Kind::BelowLost, Kind::Odd];
 const WARM: u64 = 7_000; // ms of load before anything is measured
 const BEFORE: u64 = 12_000; // ms at which the first fault comes
 const LIMIT: u64 = 40_000; // ms that one run takes at the most
 const WHOLE: f64 = 0.95; // of the service before that counts as full
 const ROW: usize = 10; // seconds in a row that it has to hold
 const STATED: Duration = Duration::from_secs(10); // beyond it nothing kept binds (asterrill-recovery::STATED)
-const WEIGHTS: [u32; 3] = [10, 30, 4];
-const RAMP: Duration = ms(4_000);
-const COLD: Cold = Cold { from: 0.3, ramp: RAMP };
+pub const WEIGHTS: [u32; 3] = [10, 30, 4];
+pub const RAMP: Duration = ms(4_000);
+pub const COLD: Cold = Cold { from: 0.3, ramp: RAMP };
 
 /// How it is played.
 #[derive(Clone)]
@@ -59,7 +61,7 @@
     pub seconds: Option<u64>,
 }
 
-fn methods() -> [Method; 3] {
+pub fn methods() -> [Method; 3] {
     [
         Method { work: ms(16), target_ms: 200, deadline_ms: 800, ..PRICE },
         Method { work: ms(24), target_ms: 400, deadline_ms: 1_600, calls: true, ..LOOK },
@@ -67,7 +69,7 @@
     ]
 }
 
-fn shares(methods: &[Method]) -> Vec<Share> {
+pub fn shares(methods: &[Method]) -> Vec<Share> {
     let share = |(m, weight): (&Method, u32)| Share {
         method: m.name,
         weight,
@@ -82,9 +84,9 @@
 fn load(kind: Kind, seed: u64) -> f64 {
     match kind {
         Kind::All | Kind::StateLost => 0.8,
-        Kind::Most if seed % 2 == 0 => 0.6,
+        Kind::Most if seed.is_multiple_of(2) => 0.6,
         Kind::Most => 0.9,
-        Kind::Rolling => 0.6,
+        Kind::Rolling | Kind::Odd => 0.6,
         Kind::BelowLost => 0.7,
     }
 }
@@ -100,7 +102,7 @@
         Kind::All => {
             lines.push(line(BEFORE, What::Kill, &all));
             lines.push(line(BEFORE + down, What::Start, &all));
-            if seed % 3 == 0 {
+            if seed.is_multiple_of(3) {
                 lines.push(line(BEFORE + down + 50, What::Reconnect, &[]));
             }
         }
@@ -126,7 +128,7 @@
         Kind::StateLost => {
             lines.push(line(BEFORE, What::Kill, &all));
             let spoils = [Spoil::Lost, Spoil::Torn, Spoil::Old, Spoil::Other, Spoil::ReadOnly];
-            let spoil = &spoils[seed as usize / 5 % spoils.len()];
+            let spoil = &spoils[seed as usize / KINDS.len() % spoils.len()];
             let (half, rest) = all.split_at(nodes / 2);
             lines.push(line(BEFORE + 50, What::State(spoil.clone()), half));
             if let [a, b, ..] = rest {
@@ -141,6 +143,27 @@
             // It warms up: full speed again after a while.
             lines.push(line(BEFORE + away + 3_000, What::BelowBack(1.0), &[]));
         }
+        Kind::Odd => {
+            let mut some = all;
+            some.shuffle(&mut chance);
+            some.truncate((nodes / 4).max(1));
+            // Of four: a pause; the process alone; the link to the agent, each way and both; the name service.
+            let (first, last, span) = match seed / KINDS.len() as u64 % 6 {
+                0 => (What::Pause, What::Resume, 10_000),
+                1 => (What::Crash, What::Crash, 1_500),
+                2 => (What::AgentDeaf, What::AgentPass, 2_500),
+                3 => (What::AgentMute, What::AgentPass, 2_500),
+                4 => (What::AgentHang, What::AgentPass, 2_500),
+                _ => (What::NamingGone, What::NamingBack, 5_000),
+            };
+            if first == What::NamingGone {
+                lines.push(line(BEFORE, What::AgentDelay(20), &some));
+                lines.push(line(BEFORE + span, What::AgentDelay(0), &some));
+                some.clear();
+            }
+            lines.push(line(BEFORE, first, &some));
+            lines.push(line(BEFORE + span, last, &some));
+        }
     }
     lines.sort_by_key(|line| line.at_ms);
     lines
@@ -151,6 +174,9 @@
     pub tenths: Vec<Tenth>,
     pub before: f64,
     pub after: f64,
+    /// Of all cores, the share that runs took before the fault, by the agents' own account.
+    pub load: f64,
+    pub unanswered: usize,
     pub fault_ms: u64,
     pub refused_below: u64,
     pub full_ms: Option<u64>,
@@ -167,7 +193,7 @@
     pub silent: bool,
 }
 
-fn share(tenths: &[Tenth]) -> f64 {
+pub fn share(tenths: &[Tenth]) -> f64 {
     let sum = |of: fn(&Tenth) -> f64| tenths.iter().map(of).sum::<f64>();
     sum(|t| t.in_time) / sum(|t| t.asked).max(1e-9)
 }
@@ -192,7 +218,7 @@
         // At a third of its speed the layer below does not bear what is asked; it is slow for three seconds.
         Kind::BelowLost => 3_000,
         // Lists name who has left, and leave out who is back, for up to two seconds.
-        Kind::Rolling => 2_000,
+        Kind::Rolling | Kind::Odd => 2_000,
         _ => (0..20_000).step_by(50).find(|t| fits(*t)).unwrap_or(20_000),
     }
 }
@@ -220,8 +246,9 @@
         loses: None,
         ramp: RAMP,
         skips: 0.5,
+        shared: None,
     };
-    let mut fleet = Fleet::start(&Plan { nodes: terms.nodes, setup, cold: COLD, slots, call })?;
+    let mut fleet = Fleet::start(&Plan { nodes: terms.nodes, setup, cold: COLD, slots, call, mesh: None })?;
     // Callers come once backends are listed.
     let listed = Instant::now() + ms(8_000);
     while fleet.naming.listed(Duration::ZERO).len() < terms.nodes && Instant::now() < listed {
@@ -244,6 +271,8 @@
     let end = end.unwrap_or(BEFORE) + offset;
     let limit = offset + terms.seconds.map_or(LIMIT.max(end - offset + 16_000), |s| s * 1_000);
     let (mut next, mut before) = (0, None);
+    let worked = |fleet: &Fleet| fleet.members.iter().map(|m| m.agent.runs().worked).sum::<Duration>();
+    let (mut then, mut measured) = (None, 0.0);
     loop {
         let now = fleet.at_ms();
         while lines.get(next).is_some_and(|line| line.at_ms + offset <= now) {
@@ -253,6 +282,13 @@
             fleet.suffer(&lines[next], &mut played)?;
             next += 1;
         }
+        if now >= offset + WARM && then.is_none() {
+            then = Some((now, worked(&fleet)));
+        }
+        if let Some((since, work)) = then.filter(|_| now >= offset + BEFORE && before.is_none()) {
+            let cores = (terms.nodes * cores) as f64 * (now - since) as f64 / 1e3;
+            measured = (worked(&fleet) - work).as_secs_f64() / cores;
+        }
         if now >= offset + BEFORE && before.is_none() {
             let span = ((offset + WARM) / 100) as usize..((offset + BEFORE - 500) / 100) as usize;
             before = Some(share(&callers.ledger().tenths[span]));
@@ -270,12 +306,14 @@
     }
     callers.end(ms(3_400));
     let some = lines.iter().find(|l| l.what == What::Kill).map_or(1, |l| l.whom.len());
-    found(&mut fleet, &callers, terms, kind, lines, (before.unwrap_or(0.0), end, offset, some, rate))
+    let unanswered = played.excuse(&callers.ledger().unanswered);
+    let measures = (before.unwrap_or(0.0), end, offset, some, rate, measured, unanswered);
+    found(&mut fleet, &callers, terms, kind, lines, measures)
 }
 
 fn found(
     fleet: &mut Fleet, callers: &Callers, terms: &Terms, kind: Kind, lines: &[Line],
-    (before, end, offset, some, rate): (f64, u64, u64, usize, f64),
+    (before, end, offset, some, rate, measured, unanswered): (f64, u64, u64, usize, f64, f64, usize),
 ) -> Result<Found, Fault> {
     let ledger = std::mem::take(&mut *callers.ledger());
     let tenths = ledger.tenths.clone();
@@ -333,6 +371,8 @@
     let left = fleet.end();
     Ok(Found {
         before,
+        load: measured,
+        unanswered,
         after: share(after),
         fault_ms: end - offset,
         refused_below: refused,
@@ -359,9 +399,9 @@
 }
 
 fn figures(found: &Found) -> Value {
-    json!({"full_service_ms": found.full_ms, "floor_ms": found.floor_ms, "in_time_before": found.before,
+    json!({"full_service_ms": found.full_ms, "floor_ms": found.floor_ms, "in_time_before": found.before, "load_before": found.load,
         "in_time_after": found.after, "attempts_peak_ratio": found.attempts_peak,
-        "calls_below_peak_ratio": found.calls_peak, "no_final_answer": found.ledger.no_final_answer,
+        "calls_below_peak_ratio": found.calls_peak, "no_final_answer": found.unanswered,
         "answered_twice": found.ledger.answered_twice, "effects_twice": found.effects_twice,
         "stale_decisions": found.stale, "left_processes": found.left, "curve": curve(found)})
 }
@@ -393,14 +433,16 @@
         draw_plot(terms, kind, &[("this build", &found)])?;
     }
     let rule = |report: &mut Report, broken: &str, holds: bool| report.rule(broken, holds);
-    rule(report, "an RPC got no final answer", found.ledger.no_final_answer == 0);
+    rule(report, "an RPC got no final answer", found.unanswered == 0);
     rule(report, "an RPC was answered twice", found.ledger.answered_twice == 0);
     rule(report, "an RPC got the result of another", found.ledger.wrong == 0);
     rule(report, "an effect was made twice", found.effects_twice == 0);
     rule(report, "a decision rested on an old value", found.stale == 0);
     rule(report, "a process was left behind", found.left == 0);
     rule(report, "a process panicked", found.silent);
-    rule(report, "service before the fault is no measure", found.before > 0.5);
+    rule(report, "service before the fault is no measure", found.before > 0.9);
+    let meant = load(kind, terms.seed);
+    rule(report, "the load is not what was meant", (0.8..1.15).contains(&(found.load / meant)));
     // What the cold cores alone force, a third more and a second; a slow machine gets another second.
     let bound = found.floor_ms as f64 * 1.3 + 2_000.0;
     report.set("bound_ms", json!(found.floor_ms as f64 * 1.3 + 1_000.0));
--- a/lab/src/fleet/script.rs
+++ b/lab/src/fleet/script.rs
@@ -15,12 +15,19 @@
 //! 9000 agent n2 delay 20                    # milliseconds, each way
 //! 9000 naming gone / naming back
 //! 9000 callers reconnect
+//! 9000 net split n0,n1|n2,n3,n4             # who is in a group together hears each other; a bridge is in two
+//! 9000 net deaf n3 / net mute n3            # of datagrams between processes, one way only
+//! 9000 net lossy 15 / net late 300 / net double 20     # in 100, in ms at the most, in 100
+//! 9000 net heal                             # all of these
+//! 9000 net flood n0                         # garbage, another cluster's and recorded datagrams, for a second
 //! ```
 
+use super::mesh::{apart, Weather};
 use super::Fleet;
 use crate::report::Fault;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
 #[derive(Clone, Debug, PartialEq)]
@@ -42,6 +49,14 @@
     NamingGone,
     NamingBack,
     Reconnect,
+    Split(Vec<Vec<usize>>),
+    NetDeaf,
+    NetMute,
+    Lossy(u64),
+    Late(u64),
+    Double(u64),
+    Heal,
+    Flood,
 }
 
 /// What becomes of a state directory.
@@ -93,6 +108,17 @@
             What::NamingGone => write!(f, "{at} naming gone"),
             What::NamingBack => write!(f, "{at} naming back"),
             What::Reconnect => write!(f, "{at} callers reconnect"),
+            What::Split(groups) => {
+                let group = |g: &Vec<usize>| g.iter().map(|n| format!("n{n}")).collect::<Vec<_>>().join(",");
+                write!(f, "{at} net split {}", groups.iter().map(group).collect::<Vec<_>>().join("|"))
+            }
+            What::NetDeaf => write!(f, "{at} net deaf {whom}"),
+            What::NetMute => write!(f, "{at} net mute {whom}"),
+            What::Lossy(n) => write!(f, "{at} net lossy {n}"),
+            What::Late(ms) => write!(f, "{at} net late {ms}"),
+            What::Double(n) => write!(f, "{at} net double {n}"),
+            What::Heal => write!(f, "{at} net heal"),
+            What::Flood => write!(f, "{at} net flood {whom}"),
         }
     }
 }
@@ -146,6 +172,16 @@
         ["naming", "gone"] => (What::NamingGone, vec![]),
         ["naming", "back"] => (What::NamingBack, vec![]),
         ["callers", "reconnect"] => (What::Reconnect, vec![]),
+        ["net", "split", groups] => {
+            (What::Split(groups.split('|').map(members).collect::<Option<_>>()?), vec![])
+        }
+        ["net", "deaf", list] => (What::NetDeaf, members(list)?),
+        ["net", "mute", list] => (What::NetMute, members(list)?),
+        ["net", "lossy", n] => (What::Lossy(n.parse().ok().filter(|n| *n <= 100)?), vec![]),
+        ["net", "late", ms] => (What::Late(ms.parse().ok().filter(|ms| *ms <= 60_000)?), vec![]),
+        ["net", "double", n] => (What::Double(n.parse().ok().filter(|n| *n <= 100)?), vec![]),
+        ["net", "heal"] => (What::Heal, vec![]),
+        ["net", "flood", list] => (What::Flood, members(list)?),
         _ => return None,
     };
     Some(Line { at_ms, what, whom })
@@ -156,9 +192,27 @@
 pub struct Played {
     /// Members that were told to leave; nothing is owed by one that has left.
     pub left: BTreeSet<usize>,
+    /// Since when a member can't answer, as it stands still; and the spans in which it could not.
+    pub stopped: BTreeMap<usize, Instant>,
+    pub still: Vec<(usize, Instant, Instant)>,
     pub faults: u64,
 }
 
+const PATIENCE: Duration = Duration::from_millis(3_300); // of any caller, at the most
+
+impl Played {
+    /// Of tries without an answer, to whom and when they were sent, those that count. One that stands still answers
+    /// nothing; it is asked all the same, and once it is awake its callers are gone.
+    pub fn excuse(&self, unanswered: &[(usize, Instant)]) -> usize {
+        let stopped = self.stopped.iter().map(|(n, since)| (*n, *since, Instant::now()));
+        let still: Vec<(usize, Instant, Instant)> = self.still.iter().copied().chain(stopped).collect();
+        let excused = |(node, at): &&(usize, Instant)| {
+            still.iter().any(|(n, from, to)| n == node && *from <= *at + PATIENCE && at <= to)
+        };
+        unanswered.iter().filter(|of| !excused(of)).count()
+    }
+}
+
 impl Fleet {
     /// Carries one fault out.
     pub fn suffer(&mut self, line: &Line, played: &mut Played) -> Result<(), Fault> {
@@ -174,6 +228,14 @@
                 self.members.iter().for_each(|m| m.to_naming.gone(gone));
                 return Ok(());
             }
+            What::Split(_)
+            | What::NetDeaf
+            | What::NetMute
+            | What::Lossy(_)
+            | What::Late(_)
+            | What::Double(_)
+            | What::Heal
+            | What::Flood => return self.blow(line),
             What::BelowBack(speed) => {
                 self.below.desk().empty(*speed);
                 self.members.iter().for_each(|m| m.to_below.gone(false));
@@ -212,8 +274,16 @@
                     (member.since, member.up) = (Instant::now(), true);
                     played.left.remove(&n);
                 }
-                What::Pause => member.node.signal("STOP"),
-                What::Resume => member.node.signal("CONT"),
+                What::Pause => {
+                    member.node.signal("STOP");
+                    played.stopped.insert(n, Instant::now());
+                }
+                What::Resume => {
+                    member.node.signal("CONT");
+                    let since = played.stopped.remove(&n);
+                    played.still.extend(since.map(|since| (n, since, Instant::now())));
+                    member.since = Instant::now();
+                }
                 What::Term => {
                     member.node.signal("TERM");
                     member.up = false;
@@ -221,7 +291,11 @@
                 }
                 What::State(spoil) => self.spoil(n, spoil)?,
                 What::AgentHang => member.to_agent.hang(true),
-                What::AgentPass => member.to_agent.hang(false),
+                What::AgentPass => {
+                    member.to_agent.hang(false);
+                    // What it decided meanwhile had reasons of its own.
+                    member.since = Instant::now();
+                }
                 What::AgentDeaf => member.to_agent.hang_one(true, true),
                 What::AgentMute => member.to_agent.hang_one(false, true),
                 What::AgentDelay(ms) => member.to_agent.delay(Duration::from_millis(*ms)),
@@ -231,6 +305,27 @@
         Ok(())
     }
 
+    /// What befalls the net between processes.
+    fn blow(&self, line: &Line) -> Result<(), Fault> {
+        let Some(mesh) = &self.mesh else { return Err("these processes do not talk to each other".into()) };
+        let nodes = self.members.len();
+        mesh.weather(|w| match &line.what {
+            What::Split(groups) => w.cut = apart(groups, nodes),
+            What::NetDeaf => w.cut.extend(line.whom.iter().flat_map(|n| (0..nodes).map(move |a| (a, *n)))),
+            What::NetMute => w.cut.extend(line.whom.iter().flat_map(|n| (0..nodes).map(move |a| (*n, a)))),
+            What::Lossy(n) => w.loss = *n as f64 / 100.0,
+            What::Late(ms) => w.delay = Duration::from_millis(*ms),
+            What::Double(n) => w.doubles = *n as f64 / 100.0,
+            What::Heal => *w = Weather::default(),
+            _ => {}
+        });
+        if line.what == What::Flood {
+            let to: Vec<SocketAddr> = line.whom.iter().filter_map(|n| mesh.at.get(*n).copied()).collect();
+            std::thread::spawn(move || flood(&to));
+        }
+        Ok(())
+    }
+
     /// Spoils the state of a member that is down.
     fn spoil(&self, n: usize, spoil: &Spoil) -> Result<(), Fault> {
         let learned = self.state(n).join("learned");
@@ -271,6 +366,23 @@
     }
 }
 
+/// For a second, from an address of its own, and bounded in number.
+fn flood(to: &[SocketAddr]) {
+    let Ok(socket) = UdpSocket::bind("127.0.0.1:0") else { return };
+    let until = Instant::now() + Duration::from_secs(1);
+    for n in 0..20_000_u32 {
+        if Instant::now() > until {
+            return;
+        }
+        // By turns too short, of another version, and whole by its looks.
+        let bytes = [vec![1; 8], vec![9; 80], [vec![1], vec![(n % 251) as u8; 200]].concat()];
+        for at in to {
+            socket.send_to(&bytes[n as usize % 3], at).map(drop).unwrap_or_default();
+        }
+        std::thread::sleep(Duration::from_micros(100));
+    }
+}
+
 /// A snapshot with some of its lines changed, under a checksum that holds.
 fn edited(text: &str, begins: &str, change: impl Fn(&str) -> String) -> String {
     let body: String = text
@@ -289,7 +401,8 @@
     #[test]
     fn a_script_is_read_as_it_is_printed_and_odd_lines_are_named() {
         let text = "6000 kill n0,n2\n6100 state n0 swap n1\n6200 state n2 old\n6300 start n0,n1,n2\n\
-                    7000 below gone\n7100 below back 0.33\n7200 agent n1 hang\n7250 agent n0,n1 delay 20\n7260 naming gone\n7300 callers reconnect\n";
+                    7000 below gone\n7100 below back 0.33\n7200 agent n1 hang\n7250 agent n0,n1 delay 20\n7260 naming gone\n7300 callers reconnect\n\
+                    7400 net split n0|n1,n2\n7500 net mute n0\n7600 net lossy 15\n7700 net heal\n7800 net flood n2\n";
         let lines = parse(text, 3).unwrap();
         let printed: String = lines.iter().map(|line| format!("{line}\n")).collect();
         assert_eq!(printed, text);
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -80,6 +80,8 @@
     RecoveryCpu,
     /// Most of a fleet restarted at once, its state lost, or the layer below away
     FleetReturn,
+    /// Processes that know each other, with cuts, losses, pauses and deaths between them
+    FleetMembers,
     /// CPU of a framed RPC, this build and another in turns
     FramedCpu,
 }
@@ -96,6 +98,7 @@
             Scenario::AmqpLost => "amqp-lost",
             Scenario::FramedCpu => "framed-cpu",
             Scenario::FleetReturn => "fleet-return",
+            Scenario::FleetMembers => "fleet-members",
             Scenario::RecoveryCpu => "recovery-cpu",
             Scenario::ConfigRollback => "config-rollback",
             Scenario::ConfigGood => "config-good",
@@ -121,7 +124,7 @@
             Scenario::ConfigCrash => config::crash(report, to.seed),
             Scenario::ConfigStorm => config::storm(report, to.seed, to.messages.unwrap_or(1_000), to.rate),
             Scenario::RecoveryCpu => amqp::recovery_cpu(report, to.seed, span(4), to.rate),
-            Scenario::FleetReturn => {
+            Scenario::FleetReturn | Scenario::FleetMembers => {
                 let (script, plot, other) = (to.script.clone(), to.plot.clone(), to.other.clone());
                 let terms = fleet::returns::Terms {
                     seed: to.seed,
@@ -132,7 +135,10 @@
                     other,
                     seconds: to.seconds,
                 };
-                fleet::returns::scenario(report, &terms)
+                match self {
+                    Scenario::FleetReturn => fleet::returns::scenario(report, &terms),
+                    _ => fleet::members::scenario(report, &terms),
+                }
             }
             Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), to.rate, to.other.as_deref()),
         }
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -26,6 +26,9 @@
     pub calls: bool,
 }
 
+const FREE: u64 = 100_000; // microseconds without a moment at which all cores were taken: one was free
+const LATER: u64 = 20_000;
+
 /// The agent's own account of what it ran, by body.
 #[derive(Default)]
 pub struct Runs {
@@ -43,8 +46,10 @@
     /// Cores that are slow after a start, and since when this agent runs.
     pub cold: Option<Cold>,
     since: Option<Instant>,
-    /// The tenths of a second, since the agent began, in which all cores were taken at some moment.
-    busy: std::collections::BTreeSet<u64>,
+    /// Spans in which all cores were taken, in microseconds since the agent began; the last may be open.
+    taken: BTreeMap<u64, u64>,
+    /// Work that was given to cores.
+    pub worked: Duration,
     began: Option<Instant>,
     /// Calls that a run was told to do without, and when.
     pub forgone: Vec<Instant>,
@@ -214,11 +219,16 @@
                 let slower = if runs.thrashes { crowd.clamp(1.0, 6.0) } else { 1.0 };
                 let slower = slower / runs.speed();
                 let key = (now + run.method.work.mul_f64(slower), runs.next);
+                runs.worked += run.method.work;
                 runs.due.insert(key, run);
             }
-            if runs.running >= self.cores {
-                let tenth = runs.tenth(now);
-                runs.busy.insert(tenth);
+            let (at, full) = (runs.micros(now), runs.running >= self.cores);
+            match runs.taken.last_entry() {
+                Some(mut last) if *last.get() == u64::MAX && !full => {
+                    last.insert(at);
+                }
+                _ if full => drop(runs.taken.insert(at, u64::MAX)),
+                _ => {}
             }
             let first = runs.due.first_key_value().map(|((at, _), _)| *at);
             let wait =
@@ -233,13 +243,15 @@
 }
 
 impl Runs {
-    fn tenth(&self, at: Instant) -> u64 {
-        self.began.map_or(0, |began| at.saturating_duration_since(began).as_millis() as u64 / 100)
+    fn micros(&self, at: Instant) -> u64 {
+        self.began.map_or(0, |began| at.saturating_duration_since(began).as_micros() as u64)
     }
-    /// A core was free all through the three tenths of a second before a moment.
+    /// A core was free all through the 100 ms before a moment, and just after it: what was launched with a wave of RPCs
+    /// comes here a little later than pushbacks of the same wave go out.
     pub fn was_free(&self, at: Instant) -> bool {
-        let tenth = self.tenth(at);
-        self.busy.range(tenth.saturating_sub(3)..=tenth).next().is_none()
+        let at = self.micros(at);
+        let spans = self.taken.range(..=at + LATER).next_back();
+        spans.is_none_or(|(_, end)| *end < at.saturating_sub(FREE))
     }
     fn speed(&self) -> f64 {
         let up = self.since.map_or(Duration::MAX, |since| since.elapsed());
@@ -300,7 +312,7 @@
         }
         self.ended += 1;
         let ms = run.method.work.as_millis();
-        if run.method.fails > 0 && self.ended % run.method.fails == 0 {
+        if run.method.fails > 0 && self.ended.is_multiple_of(run.method.fails) {
             return self.notice(&format!("outcome {} FAIL {ms} 0", run.id), &[]);
         }
         let result = [b"did ", &run.body[..]].concat();
@@ -397,6 +409,9 @@
     pub ramp: Duration,
     /// The share of criticality that an answer without its call earns.
     pub skips: f64,
+    /// Of the calls at a time that a layer below survives, the part for each of so many servers, and how long a call may
+    /// stay there that was given up.
+    pub shared: Option<(f64, usize, Duration)>,
 }
 
 /// Where one node of several stands: its name and the one address where it listens.
@@ -404,6 +419,8 @@
 pub struct Stand {
     pub name: String,
     pub at: SocketAddr,
+    /// What stands for words in braces in the operator's file, besides the common ones.
+    pub words: Vec<(String, String)>,
 }
 
 impl Setup {
@@ -413,12 +430,19 @@
                 "Worth": m.criticality, "WindowMs": 10_000})
         };
         let calls = self.methods.iter().any(|m| m.calls);
+        let below = match self.shared {
+            Some(_) => "shared",
+            None if calls => "tier",
+            None => "off",
+        };
+        let (share, replicas, linger) = self.shared.unwrap_or((1.0, 1, Duration::ZERO));
         json!({"Categories": self.methods.iter().map(category).collect::<Vec<_>>(),
             "FamilyInfo": {"NCores": self.cores, "RamKb": 200_000, "RunFactor": 2, "Say": self.say,
-                "Below": if calls { "tier" } else { "off" },
+                "Below": below, "CallShare": share, "DepWindowMs": 1_000,
+                "LingerMs": linger.as_millis() as u64,
                 "ClassSkipWorth": self.methods.iter().map(|m| if m.calls { self.skips } else { 0.0 }).collect::<Vec<_>>(),
                 "StopMode": "abort", "Gauges": ["on_cores", "links"], "IdleMs": 30_000, "Callers": 4},
-            "Limits": {"RetryAfter": true, "MaxRetryAfterMs": 500}, "StepMs": 2,
+            "Limits": {"RetryAfter": true, "MaxRetryAfterMs": 500}, "StepMs": 2, "ReplicasOfMe": replicas,
             "Safety": {"TipMultiple": 8, "ColdFrom": 0.5, "RampTimeMs": self.ramp.as_millis() as u64,
                 "StopSendingWithinMs": 400}})
     }
@@ -436,7 +460,14 @@
         setup: &Setup, agent: SocketAddr, below: SocketAddr, naming: SocketAddr, password: &str,
     ) -> std::io::Result<Node> {
         let at = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        let node = Node::begin(setup, &Stand { name: "n1".into(), at }, agent, below, naming, password)?;
+        let node = Node::begin(
+            setup,
+            &Stand { name: "n1".into(), at, words: Vec::new() },
+            agent,
+            below,
+            naming,
+            password,
+        )?;
         node.listens()?;
         Ok(node)
     }
@@ -466,6 +497,7 @@
         if let Some(file) = &setup.file {
             let text = file.replace("{password}", &secret.display().to_string());
             let text = text.replace("{dir}", &dir.display().to_string());
+            let text = stand.words.iter().fold(text, |text, (word, means)| text.replace(word, means));
             std::fs::write(dir.join("asterrill.conf"), text)?;
         }
         std::fs::File::create(&log)?;
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -9,11 +9,15 @@
 //! | [`Seal`] | a keyed hash, the cluster and a number on each datagram; what is foreign, forged or sent again is dropped unread |
 //! | [`Members`] | the state machine: doubt after a pause, damping of flapping members, twins, contacts, bounds |
 //! | [`View`], [`Quorum`] | `whole`, `majority`, `minority`, `alone`, against the last agreed size |
+//! | [`conduct`] | the table: what each part of a backend does in each view |
+//! | [`Kept`] | what a restart wants to know of before |
 //! | [`Lease`] | what part of a divided limit this member may take: shrinks at once, grows late |
 //!
 //! A view never decides about an RPC. It changes one figure of the module, through one call, and nothing waits for it.
 
+mod conduct;
 mod id;
+mod kept;
 mod lease;
 mod members;
 mod seal;
@@ -21,7 +25,9 @@
 mod tests;
 mod view;
 
+pub use conduct::{conduct, Changes, Conduct, SLICES};
 pub use id::{Id, Name};
+pub use kept::Kept;
 pub use lease::{Lease, Terms as LeaseTerms};
 pub use members::{Counts, Event, Members, Shown, Standing, Terms};
 pub use seal::{Dropped, Seal};
--- a/net/src/clock.rs
+++ b/net/src/clock.rs
@@ -6,14 +6,20 @@
 
 use may::coroutine::{self, Coroutine};
 use std::collections::BTreeMap;
-use std::sync::{Condvar, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::sync::{Condvar, Mutex, MutexGuard, OnceLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Microseconds since 1970.
 pub fn now() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as u64)
 }
 
+/// Microseconds of a clock that nobody sets, since this process began to ask: for what is counted between machines.
+pub fn elapsed() -> u64 {
+    static BEGAN: OnceLock<Instant> = OnceLock::new();
+    BEGAN.get_or_init(Instant::now).elapsed().as_micros() as u64
+}
+
 const LONGEST: u64 = 500_000; // between looks at the clock, which may be set
 
 /// Who waits until when, and a number to tell those of one moment apart.
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -2,6 +2,7 @@
 //! nothing of what the bytes say. One coroutine owns each socket, reads it and writes what waits for it.
 
 mod clock;
+mod datagrams;
 mod link;
 mod listener;
 mod outbox;
@@ -11,7 +12,8 @@
 #[cfg(test)]
 mod tests;
 
-pub use clock::{now, wait_until, Bell};
+pub use clock::{elapsed, now, wait_until, Bell};
+pub use datagrams::Datagrams;
 pub use link::{hold, Address, Party, Pause};
 pub use listener::{bind, listen, Room};
 pub use outbox::Outbox;
--- a/protocol/src/amqp/tests.rs
+++ b/protocol/src/amqp/tests.rs
@@ -42,7 +42,7 @@
     let deliver = basic::Deliver {
         consumer_tag: "c".into(),
         delivery_tag: tag,
-        redelivered: tag % 2 == 0,
+        redelivered: tag.is_multiple_of(2),
         exchange: "x".into(),
         routing_key: "k".into(),
     };
--- a/src/control.rs
+++ b/src/control.rs
@@ -268,6 +268,8 @@
 /// Calls below: the bound on those in hand, and the breaker.
 pub struct Calls {
     bound: f64,
+    divided: bool, // the bound is this server's part of what all servers share
+    part: f64,
     window: f64,
     linger: Us,
     pause: f64,
@@ -284,17 +286,18 @@
 impl Calls {
     /// `linger`: how long an abandoned call may stay below; `shortest`: the shortest latency target.
     pub fn new(below: Below, cores: usize, linger: Us, shortest: Us) -> Calls {
-        let (bound, window) = match below {
-            Below::Nothing => (f64::INFINITY, 1),
-            Below::Shared { share, window } => (share * SAFE, window),
-            Below::Tier => ((CALLS_PER_CORE * cores as f64).floor(), 1),
+        let (bound, window, divided) = match below {
+            Below::Nothing => (f64::INFINITY, 1, false),
+            Below::Shared { share, window } => (share * SAFE, window, true),
+            Below::Tier => ((CALLS_PER_CORE * cores as f64).floor(), 1, false),
         };
         let (pause, mean, window) = (shortest as f64 * BREAK, Fading::new(window), window as f64);
         let (placed, lingering, failures, open_until, trial) = (0, Vec::new(), 0, 0, None);
         let (firsts, repeats) = (Fading::new(BUDGET), Fading::new(BUDGET));
         #[rustfmt::skip]
         let calls = Calls {
-            bound, window, linger, pause, placed, lingering, mean, failures, open_until, trial, firsts, repeats,
+            bound, divided, part: 1.0, window, linger, pause, placed, lingering, mean, failures, open_until, trial,
+            firsts, repeats,
         };
         calls
     }
@@ -309,8 +312,9 @@
         if with > opened.max(1.0) {
             return false;
         }
-        let spare = self.mean.add(now, 0.0) / self.window + 1.0 / BEATS as f64 <= self.bound;
-        with <= self.bound || (with < self.bound + 1.0 && spare)
+        let bound = if self.divided { self.bound * self.part } else { self.bound };
+        let spare = self.mean.add(now, 0.0) / self.window + 1.0 / BEATS as f64 <= bound;
+        with <= bound || (with < bound + 1.0 && spare)
     }
     /// Guards against repeats that multiply the load of a layer below that fails. Harm: a call that a second try
     /// would have made good is left out, or its RPC given up.
@@ -424,17 +428,18 @@
 pub struct Shares {
     rates: Vec<(f64, f64, Us)>,
     worth: f64,
+    pub(crate) part: f64,
 }
 
 impl Shares {
     /// `rates`: RPCs a second of each tenant over the whole fleet; `worth`: of what exceeds them.
     pub fn new(rates: &[f64], replicas: usize, worth: f64) -> Shares {
         let here = |rate: &f64| (rate / replicas.max(1) as f64, TENANT_RPCS, 0);
-        Shares { rates: rates.iter().map(here).collect(), worth }
+        Shares { rates: rates.iter().map(here).collect(), worth, part: 1.0 }
     }
     pub(crate) fn worth(&mut self, now: Us, tenant: Option<usize>) -> f64 {
         let Some((rate, room, at)) = tenant.and_then(|t| self.rates.get_mut(t)) else { return 1.0 };
-        *room = (*room + *rate * (now - *at) as f64 / 1e6).min(TENANT_RPCS);
+        *room = (*room + *rate * self.part * (now - *at) as f64 / 1e6).min(TENANT_RPCS);
         *at = now;
         let whole = if *room >= 1.0 { 1.0 } else { 0.0 };
         *room -= whole;
@@ -453,12 +458,12 @@
     pub(crate) accounts: Accounts,
     target: Target,
     hold: Hold,
-    calls: Calls,
+    pub(crate) calls: Calls,
     keys: Keys,
     memory: Memory,
     drain: Drain,
     pub(crate) credit: Credit,
-    shares: Shares,
+    pub(crate) shares: Shares,
     care: Care,
     rpcs: BTreeMap<RpcId, Rpc>,
     alarms: BTreeSet<(Us, RpcId)>,
@@ -571,6 +576,7 @@
             c.target.target *= target.cores / c.target.cores;
             (c.target.cores, c.target.tip) = (target.cores, target.tip);
             (c.calls.bound, c.calls.window, c.calls.linger) = (calls.bound, calls.window, calls.linger);
+            c.calls.divided = calls.divided;
             (c.calls.pause, c.calls.mean.span) = (calls.pause, calls.mean.span);
             (c.keys.kb, c.keys.fresh) = (fresh.keys.kb, fresh.keys.fresh);
             (c.memory.ram, c.memory.factor) = (fresh.memory.ram, fresh.memory.factor);
@@ -579,6 +585,7 @@
             (c.credit.fine, c.credit.longest) = (fresh.credit.fine, fresh.credit.longest);
             c.credit.idle = c.credit.idle.min(c.credit.longest);
             let before = std::mem::replace(&mut c.shares, fresh.shares);
+            c.shares.part = before.part;
             for (share, known) in c.shares.rates.iter_mut().zip(tenants) {
                 let room = known.and_then(|at| before.rates.get(at));
                 (share.1, share.2) = room.map_or((share.1, c.now), |room| (room.1, room.2));
@@ -593,6 +600,11 @@
         self.after(now, |c| c.care = care)
     }
 
+    /// Of what the settings divide among servers, this one's part from now on, over the one that they give it.
+    pub fn share(&mut self, now: Us, part: f64) -> Outcome {
+        self.after(now, |c| (c.shares.part, c.calls.part) = (part, part))
+    }
+
     /// What serving an RPC of a method takes, as learned so far, in microseconds; 0 for one that is not known.
     pub fn cost(&self, method: MethodId) -> f64 {
         self.costs.get(method.0).map_or(0.0, |cost| cost.mean)
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -380,7 +380,7 @@
             6..=8 => {
                 if let Some(id) = self.pick(n, |r| r.at == At::Running) {
                     let answered = !self.rpcs[&id].owed;
-                    let end = if n % 7 == 0 { RunEnd::Aborted } else { RunEnd::Ok };
+                    let end = if n.is_multiple_of(7) { RunEnd::Aborted } else { RunEnd::Ok };
                     self.end_run(id, if answered { RunEnd::Stopped } else { end });
                 }
             }
@@ -402,11 +402,11 @@
                 if let Some(id) = self.pick(n, |r| !r.owed && r.at == At::Stalled) {
                     self.end_run(id, RunEnd::Stopped);
                 }
-                if let Some(id) = self.pick(n, |r| r.owed).filter(|_| n % 3 == 0) {
+                if let Some(id) = self.pick(n, |r| r.owed).filter(|_| n.is_multiple_of(3)) {
                     self.leave(id);
                 }
             }
-            13 if self.drain.is_none() && n % 10 == 0 => {
+            13 if self.drain.is_none() && n.is_multiple_of(10) => {
                 let kill = self.now + [600, 3_000][n / 10 % 2] * MS;
                 self.drain = Some((self.now, kill));
                 let out = self.control.drain(self.now, kill);
@@ -921,6 +921,40 @@
         assert!(fresh.standing().shut, "and one failure shuts it again");
     }
 
+    #[test]
+    fn a_part_of_what_servers_divide_bounds_calls_and_tenants_and_goes_on_over_a_change() {
+        let shared = |calls: Below| {
+            let mut c = made(0, &[1.0], 4, 1e6);
+            c.calls = Calls::new(calls, 4, 0, 400 * MS);
+            c.shares = Shares::new(&[100.0], 1, 0.0);
+            c
+        };
+        let below = Below::Shared { share: 5.0, window: 1_000 * MS };
+        let placed = |c: &mut Control, from: u64| calls_placed(c, from * MS, from..from + 20);
+        assert_eq!(placed(&mut shared(below), 0), 4, "0.8 of the share");
+        for (part, calls) in [(0.5, 2), (0.25, 1), (1.5, 6)] {
+            let mut c = shared(below);
+            c.share(0, part);
+            assert_eq!(placed(&mut c, 0), calls, "at a part of {part}");
+        }
+        let mut c = shared(Below::Tier);
+        c.share(0, 0.25);
+        let whole = placed(&mut shared(Below::Tier), 0);
+        assert_eq!((placed(&mut c, 0), whole > 6), (whole, true), "what is not divided stays");
+        // Of a tenant's 100 a second ten at once, and then its part.
+        let inside = |part: f64| {
+            let mut shares = Shares::new(&[100.0], 1, 0.0);
+            shares.part = part;
+            (0..400).filter(|n| shares.worth(n * 5 * MS, Some(0)) > 0.0).count()
+        };
+        assert!((inside(1.0) as i64 - 208).abs() < 4, "{}", inside(1.0));
+        assert!((inside(0.25) as i64 - 59).abs() < 4, "{}", inside(0.25));
+        let mut c = shared(below);
+        c.share(0, 0.5);
+        c.change(MS, shared(below), &[0], &[Some(0)]);
+        assert_eq!(placed(&mut c, 2), 2, "other settings divide the same");
+    }
+
     #[test]
     fn times_to_come_back_are_spread_and_stay_within_what_is_relayed() {
         let waits = |spread: f64| -> Vec<Us> {
