--- a/lab/src/fleet/members.rs
+++ b/lab/src/fleet/members.rs
@@ -5,9 +5,10 @@
 use super::returns::{methods, ms, share, shares, Terms, COLD, RAMP, WEIGHTS};
 use super::script::{self, Line, Played, What};
 use super::{mean_work, Fleet, Plan};
-use crate::amqp::UPDATE;
+use crate::amqp::{self, LOOK, PRICE, UPDATE};
+use crate::load::play;
 use crate::report::{Fault, Report};
-use crate::world::Setup;
+use crate::world::{Method, Setup};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -22,6 +23,7 @@
 const SUSPICION: u64 = 900;
 const GREET: u64 = 500;
 const SETTLE: u64 = 1_000;
+const SECTIONS: &str = "[changes]\ncontrol {dir}/control\nstate {dir}/state\n";
 const FILE: &str =
     "[changes]\ncontrol {dir}/control\nstate {dir}/state\n[members]\ncluster lab\nlisten {own}\n\
     advertise {relay}\nkey-file {password}\n{contacts}probe 150ms\nsuspicion 900ms\ngreet 500ms\nsettle 1s\n";
@@ -213,29 +215,33 @@
     })
 }
 
-/// The scenario.
-pub fn scenario(report: &mut Report, terms: &Terms) -> Result<(), Fault> {
-    let (nodes, cores) = (terms.nodes, 2);
-    let (kind, lines) = match &terms.script {
-        Some(path) => ("script", script::parse(&std::fs::read_to_string(path)?, nodes)?),
-        None => draw(nodes, terms.seed),
-    };
-    let (methods, promised) = (methods(), Promised::of(nodes));
-    let rate = (nodes * cores) as f64 / mean_work(&methods, &WEIGHTS).as_secs_f64() * LOAD;
-    let setup = Setup {
+fn setup(methods: &[Method], nodes: usize) -> Setup {
+    Setup {
         methods: methods.to_vec(),
-        cores,
+        cores: 2,
         memory_mb: 64,
         sockets: 512,
         stop_ms: 1_500,
         file: Some(format!("{FILE}expect {nodes}\n")),
         say: "window",
-        program: terms.other.clone(),
+        program: None,
         loses: None,
         ramp: RAMP,
         skips: 0.5,
         shared: Some((SHARE, nodes, CALL)),
+    }
+}
+
+/// The scenario.
+pub fn scenario(report: &mut Report, terms: &Terms) -> Result<(), Fault> {
+    let (nodes, cores) = (terms.nodes, 2);
+    let (kind, lines) = match &terms.script {
+        Some(path) => ("script", script::parse(&std::fs::read_to_string(path)?, nodes)?),
+        None => draw(nodes, terms.seed),
     };
+    let (methods, promised) = (methods(), Promised::of(nodes));
+    let rate = (nodes * cores) as f64 / mean_work(&methods, &WEIGHTS).as_secs_f64() * LOAD;
+    let setup = Setup { program: terms.other.clone(), ..setup(&methods, nodes) };
     let slots = (SHARE * nodes as f64 * 4.0) as usize; // what is over the whole is served all the same, and seen
     let plan = Plan { nodes, setup, cold: COLD, slots, call: CALL, mesh: Some(terms.seed) };
     let mut fleet = Fleet::start(&plan)?;
@@ -278,6 +284,39 @@
     judge(report, &mut fleet, &callers, &Seen { kind, lines, looks, truth, played, offset, last, promised })
 }
 
+/// CPU of a framed RPC at one of so many processes, with `[members]` and without, in turns: medians of five.
+pub fn cpu(report: &mut Report, seed: u64, nodes: usize, span: Duration, rate: f64) -> Result<(), Fault> {
+    let none = std::sync::atomic::AtomicBool::new(false);
+    let (mut cpu, mut idle) = ([vec![], vec![]], [vec![], vec![]]);
+    for round in 0..5 {
+        for (which, file) in [SECTIONS.to_string(), format!("{FILE}expect {nodes}\n")].into_iter().enumerate()
+        {
+            let quick = [PRICE, LOOK].map(|method| Method { work: ms(0), ..method });
+            let setup = Setup { file: Some(file), shared: None, ..setup(&quick, nodes) };
+            let plan = Plan { nodes, setup, cold: COLD, slots: 1_000, call: ms(0), mesh: Some(seed + round) };
+            let fleet = Fleet::start(&plan)?;
+            std::thread::sleep(ms(6_000)); // until all know each other
+            let node = &fleet.members[0].node;
+            let others = || fleet.members[1..].iter().map(|m| m.node.cpu_us()).sum::<u64>();
+            play(node.at, &amqp::shares(), &[(ms(500), rate)], seed + 50 + round, &none)?;
+            let (before, rest, start) = (node.cpu_us(), others(), Instant::now());
+            let tallies = play(node.at, &amqp::shares(), &[(span, rate)], seed + round, &none)?;
+            let rpcs = crate::load::sum(&tallies, |t| t.asked).max(1);
+            cpu[which].push((node.cpu_us() - before) as f64 / rpcs as f64);
+            idle[which].push((others() - rest) as f64 / (nodes - 1) as f64 / start.elapsed().as_secs_f64());
+        }
+    }
+    for (name, all) in [("cpu_us_per_rpc", &mut cpu), ("cpu_us_per_s_of_an_idle_one", &mut idle)] {
+        for (all, of) in all.iter_mut().zip(["off", "on"]) {
+            all.sort_by(f64::total_cmp);
+            report.set(&format!("{name}_{of}"), json!(all[all.len() / 2]));
+            report.set(&format!("{name}_{of}_all"), json!(all));
+        }
+    }
+    report.set("nodes", json!(nodes));
+    Ok(())
+}
+
 /// What one run has shown.
 struct Seen {
     kind: &'static str,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -82,6 +82,8 @@
     FleetReturn,
     /// Processes that know each other, with cuts, losses, pauses and deaths between them
     FleetMembers,
+    /// CPU of a framed RPC at one of twenty processes, with members and without, in turns
+    MembersCpu,
     /// CPU of a framed RPC, this build and another in turns
     FramedCpu,
 }
@@ -99,6 +101,7 @@
             Scenario::FramedCpu => "framed-cpu",
             Scenario::FleetReturn => "fleet-return",
             Scenario::FleetMembers => "fleet-members",
+            Scenario::MembersCpu => "members-cpu",
             Scenario::RecoveryCpu => "recovery-cpu",
             Scenario::ConfigRollback => "config-rollback",
             Scenario::ConfigGood => "config-good",
@@ -140,6 +143,9 @@
                     _ => fleet::members::scenario(report, &terms),
                 }
             }
+            Scenario::MembersCpu => {
+                fleet::members::cpu(report, to.seed, to.nodes.clamp(3, 40), span(4), to.rate)
+            }
             Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), to.rate, to.other.as_deref()),
         }
     }
--- a/membership/src/lease.rs
+++ b/membership/src/lease.rs
@@ -15,10 +15,17 @@
     pub margin: Us,
 }
 
+/// How long a suspicion lasts among so many members: as told up to ten, then with the logarithm, as it takes a word that
+/// much longer to get to all and back where datagrams are lost (SWIM, section 4.2, and what was measured here).
+pub fn grown(suspicion: Us, members: usize) -> Us {
+    (suspicion as f64 * (members.max(1) as f64).log10().max(1.0)) as Us
+}
+
 impl Terms {
     /// From the time between probes, the time of a suspicion and the number of members. A member picks whom it probes
     /// by a shuffled list, so each is probed once in two rounds at the latest.
     pub fn of(probe: Us, suspicion: Us, members: usize) -> Terms {
+        let suspicion = grown(suspicion, members);
         let notice = probe.saturating_mul(2 * members.max(2) as u64 + 2).saturating_add(suspicion);
         Terms { notice, margin: notice / 10 + probe }
     }
--- a/membership/src/members.rs
+++ b/membership/src/members.rs
@@ -195,6 +195,8 @@
     asked: BTreeMap<Name, Us>,
     quorum: Quorum,
     lease: Lease,
+    /// The members for which the intervals were set last.
+    sized: usize,
     chance: StdRng,
     out: Vec<(SocketAddr, Vec<u8>)>,
     events: VecDeque<Event>,
@@ -210,7 +212,7 @@
     Duration::from_micros(us)
 }
 
-fn settings_of(terms: &Terms) -> foca::Config {
+fn settings_of(terms: &Terms, members: usize) -> foca::Config {
     let one = NonZeroUsize::MIN;
     let every =
         |us: Us, num_members: NonZeroUsize| Some(foca::PeriodicParams { frequency: span(us), num_members });
@@ -219,7 +221,7 @@
         probe_rtt: span(terms.probe / 4),
         num_indirect_probes: NonZeroUsize::new(3).unwrap_or(one),
         max_transmissions: NonZeroU8::new(10).unwrap_or(NonZeroU8::MIN),
-        suspect_to_down_after: span(terms.suspicion),
+        suspect_to_down_after: span(lease::grown(terms.suspicion, members)),
         // Kept in mind for long, or a late word brings one back that failed.
         remove_down_after: Some(span(terms.forget)),
         max_packet_size: NonZeroUsize::new(PACKET).unwrap_or(one),
@@ -239,7 +241,7 @@
         let mut chance = StdRng::seed_from_u64(seed);
         let foca = Foca::new(
             own.clone(),
-            settings_of(&terms),
+            settings_of(&terms, terms.expect.max(kept.len())),
             StdRng::seed_from_u64(chance.random()),
             PostcardCodec,
         );
@@ -262,6 +264,7 @@
             asked: BTreeMap::new(),
             quorum,
             lease,
+            sized: 0,
             chance,
             out: Vec::new(),
             events: VecDeque::new(),
@@ -747,6 +750,11 @@
             self.tell(Event::View { view, evidence });
         }
         let size = self.quorum.size();
+        if size != self.sized {
+            // What is probed and suspected now goes on as it is; the next is waited for as long as so many need.
+            self.sized = size;
+            self.foca.set_config(settings_of(&self.terms, size)).unwrap_or_default();
+        }
         self.lease.change(lease::Terms::of(self.terms.probe, self.terms.suspicion, size));
         let others: BTreeSet<Name> =
             self.quorum.agreed().iter().filter(|name| **name != self.own.name).cloned().collect();
--- a/membership/src/tests.rs
+++ b/membership/src/tests.rs
@@ -513,11 +513,8 @@
 #[test]
 #[ignore = "minutes: cargo test -p asterrill-membership --release -- --ignored --nocapture"]
 fn detection_false_failures_and_datagrams_by_size_and_loss() {
-    for members in [10, 100, 300, 1_000] {
+    for members in [10, 100] {
         for loss in [0.0, 0.05, 0.15, 0.30] {
-            if members > 100 && loss > 0.0 {
-                continue;
-            }
             let mut net = Net::new(members, 77);
             net.until(300 * S, |net| net.all(View::Whole)).expect("all find each other");
             net.run(5 * S);
