Lists on which backends agree, acted on: driver, gate, commands, fleet-agree with real processes

A gate lapses by a clock that nobody sets when its lease ends, also if nothing else has come round. An address may send 1,000 datagrams a second now, 100 before: whole versions go in pieces.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	target/release/asterrill-lab amqp-lost --seed 1 --json
 	target/release/asterrill-lab fleet-return --seed 0 --kind most --nodes 5 --json
 	target/release/asterrill-lab fleet-members --seed 1 --nodes 5 --json
+	target/release/asterrill-lab fleet-agree --seed 1 --nodes 5 --json
 	target/release/asterrill-lab config-rollback --seed 2 --rate 250 --json
 	target/release/asterrill-lab config-good --seed 1 --rate 250 --json
 	target/release/asterrill-lab config-crash --json
--- a/agree/src/book.rs
+++ b/agree/src/book.rs
@@ -82,7 +82,7 @@
         self.told.iter().rev().find(|(known, _)| known == ticket).map(|(_, outcome)| outcome)
     }
     /// The versions known, the newest last: number, hash, who proposed it.
-    pub fn history(&self) -> impl Iterator<Item = &State> {
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = &State> {
         self.states.values()
     }
 
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -67,12 +67,94 @@
     History,
     /// The others, as the backend knows them: its view, and each member
     Members,
+    /// What the backends have agreed on, and how far this one is with it
+    Fleet {
+        #[command(subcommand)]
+        to_do: OfFleet,
+    },
+    /// Lists of tenants, callers and methods on which the backends agree
+    List {
+        #[command(subcommand)]
+        to_do: OfList,
+    },
     /// Print a completion script for a shell
     Completion { shell: clap_complete::Shell },
     /// Print the manual page
     Man,
 }
 
+#[derive(Subcommand)]
+enum OfFleet {
+    /// The version acted on, its form, the lease, and the last versions
+    Status,
+    /// Back to what an earlier version said, as a new one; exit code 1 refused, 4 no majority
+    Undo {
+        to: u64,
+        /// Only if this version is the newest
+        #[arg(long)]
+        base: Option<u64>,
+    },
+}
+
+/// tenants, callers or methods
+#[derive(Subcommand)]
+enum OfList {
+    /// Its entries
+    Show { list: String },
+    /// Let a key in, or with --out bar it
+    Add {
+        list: String,
+        key: String,
+        #[arg(long)]
+        out: bool,
+        /// Until when, such as 10m; without it for good
+        #[arg(long, value_parser = span)]
+        hold: Option<u64>,
+        /// Only if this version is the newest
+        #[arg(long)]
+        base: Option<u64>,
+    },
+    /// Take a key off
+    Remove { list: String, key: String },
+    /// Lines of KEY in or KEY out, a thousand to a version
+    Import { list: String, file: PathBuf },
+}
+
+fn unix_us() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_micros() as u64)
+}
+
+/// One change of a list, or many.
+fn change(socket: Option<&Path>, list: &str, base: Option<u64>, entries: &[Value]) -> Answer {
+    let mut answer =
+        ask(socket, json!({"do": "list-change", "list": list, "base": base, "entries": entries}));
+    if answer.told["kind"] == json!("no majority") {
+        answer.code = 4;
+    }
+    answer
+}
+
+/// Reads lines of a file, and hands them in a thousand at a time.
+fn import(socket: Option<&Path>, list: &str, file: &Path) -> Result<Answer, Answer> {
+    let mut rows = Vec::new();
+    for (n, line) in text(file)?.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
+        let (key, standing) = line.trim().rsplit_once(' ').unwrap_or((line, ""));
+        if !["in", "out"].contains(&standing) {
+            return Err(no(format!("{}:{}: a line is KEY in or KEY out", file.display(), n + 1)));
+        }
+        rows.push(json!({"key": key.trim(), "standing": standing}));
+    }
+    let mut last = no("the file has no line");
+    for some in rows.chunks(1_000) {
+        last = change(socket, list, None, some);
+        if last.code != 0 {
+            break;
+        }
+    }
+    Ok(last)
+}
+
 /// A time with its unit, in microseconds.
 fn span(text: &str) -> Result<u64, String> {
     let at = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
@@ -178,6 +260,30 @@
         ToDo::Drop => ask(json!({"do": "drop"})),
         ToDo::History => ask(json!({"do": "history"})),
         ToDo::Members => ask(json!({"do": "members"})),
+        ToDo::Fleet { to_do: OfFleet::Status } => ask(json!({"do": "fleet"})),
+        ToDo::Fleet { to_do: OfFleet::Undo { to, base } } => {
+            let mut answer = ask(json!({"do": "fleet-undo", "to": to, "base": base}))?;
+            if answer.told["kind"] == json!("no majority") {
+                answer.code = 4;
+            }
+            Ok(answer)
+        }
+        ToDo::List { to_do } => {
+            let socket = arguments.socket.as_deref();
+            match to_do {
+                OfList::Show { list } => ask(json!({"do": "list", "list": list})),
+                OfList::Add { list, key, out, hold, base } => {
+                    let standing = if *out { "out" } else { "in" };
+                    let until = hold.map_or(0, |hold| unix_us() + hold);
+                    let row = json!({"key": key, "standing": standing, "until": until});
+                    Ok(change(socket, list, *base, &[row]))
+                }
+                OfList::Remove { list, key } => {
+                    Ok(change(socket, list, None, &[json!({"key": key, "standing": "none"})]))
+                }
+                OfList::Import { list, file } => import(socket, list, file),
+            }
+        }
         ToDo::Completion { .. } | ToDo::Man => Ok(yes(json!({"ok": true}))),
     }
 }
--- a/conf/src/lib.rs
+++ b/conf/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod broker;
 mod changes;
+mod fleet;
 mod lines;
 mod members;
 mod recovery;
@@ -21,6 +22,7 @@
 
 pub use broker::{Broker, Queue, Redelivered, Select};
 pub use changes::{Changes, Form};
+pub use fleet::Fleet;
 pub use lines::Mistake;
 pub use members::Members;
 pub use recovery::Recovery;
@@ -37,6 +39,8 @@
     pub recovery: Option<Recovery>,
     /// How it knows the others; none for as on the platform.
     pub members: Option<Members>,
+    /// Settings and lists on which backends agree; none for each by itself.
+    pub fleet: Option<Fleet>,
 }
 
 /// Reads the text of the file of this name. An error names the file, the line and the mistake.
@@ -54,7 +58,9 @@
             ("recovery", None) => return Err(section.mistake("there is a section [recovery] already")),
             ("members", None) if file.members.is_none() => file.members = Some(Members::read(section)?),
             ("members", None) => return Err(section.mistake("there is a section [members] already")),
-            ("changes" | "log" | "recovery" | "members", Some(_)) => {
+            ("fleet", None) if file.fleet.is_none() => file.fleet = Some(Fleet::read(section)?),
+            ("fleet", None) => return Err(section.mistake("there is a section [fleet] already")),
+            ("changes" | "log" | "recovery" | "members" | "fleet", Some(_)) => {
                 return Err(section.mistake(&format!("[{}] takes no name", section.kind())))
             }
             ("queue", None) => return Err(section.mistake("a queue wants its name: [queue NAME]")),
@@ -65,12 +71,15 @@
             (other, _) => {
                 let text = format!(
                     "there is no section [{other}]; there are [broker], [queue NAME], [changes], \
-                     [recovery], [members] and [log]"
+                     [recovery], [members], [fleet] and [log]"
                 );
                 return Err(section.mistake(&text));
             }
         }
     }
+    if file.fleet.is_some() && (file.members.is_none() || file.changes.state.is_none()) {
+        return Err(lines.mistake("[fleet] wants [members], and state in [changes]"));
+    }
     if let Some(broker) = &file.broker {
         broker.whole(&lines)?;
     }
--- a/daemon/src/change.rs
+++ b/daemon/src/change.rs
@@ -80,6 +80,10 @@
     History,
     /// The others, as this backend knows them.
     Members,
+    /// What the backends have agreed on; a list of it; a wish about it.
+    Fleet,
+    List(asterrill_agree::Kind),
+    Wish(asterrill_agree::Wish),
 }
 
 /// An answer: one JSON object, with `ok` and, where that is false, `error`.
@@ -204,6 +208,7 @@
             Wanted::Apply { if_base, probation } => self.apply(hub, if_base, probation),
             Wanted::Status => self.status(hub),
             Wanted::Members => refused("there is no section [members]"),
+            Wanted::Fleet | Wanted::List(_) | Wanted::Wish(_) => refused("there is no section [fleet]"),
             Wanted::Settle => self.settle(hub, "asked for"),
             Wanted::Undo => self.undo(hub, "asked for"),
             Wanted::Drop => match self.rollout.drop_staged(now()) {
@@ -309,9 +314,10 @@
             || content.file.changes != running.file.changes
             || content.file.recovery != running.file.recovery
             || content.file.members != running.file.members
+            || content.file.fleet != running.file.fleet
         {
             return Err(Fault::new(
-                "[broker], [changes], [recovery], [members] and [log] are taken up at the next start only"
+                "[broker], [changes], [recovery], [members], [fleet] and [log] are taken up at the next start only"
                     .into(),
             ));
         }
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -2,6 +2,7 @@
 //! a line of JSON goes back; the program `asterrill` speaks it. Its threads touch nothing but the orders.
 
 use crate::change::{Told, Wanted};
+use asterrill_agree::{Change, Entry, Kind, Standing, Wish as Wanting};
 use asterrill_rollout::Wish;
 use serde_json::{json, Value};
 use slog::{info, warn, Logger};
@@ -140,10 +141,40 @@
         Some("drop") => Ok(Wanted::Drop),
         Some("history") => Ok(Wanted::History),
         Some("members") => Ok(Wanted::Members),
+        Some("fleet") => Ok(Wanted::Fleet),
+        Some("list") => Ok(Wanted::List(kind(&v)?)),
+        Some("fleet-undo") => {
+            let to = number("to")?.ok_or("it wants the version to go back to")?;
+            Ok(Wanted::Wish(Wanting::Undo { base: number("base")?, to }))
+        }
+        Some("list-change") => {
+            let kind = kind(&v)?;
+            let rows = v.get("entries").and_then(Value::as_array).ok_or("list-change wants entries")?;
+            let changes = rows.iter().map(|row| change(kind, row)).collect::<Result<_, _>>()?;
+            Ok(Wanted::Wish(Wanting::Change { base: number("base")?, changes }))
+        }
         other => Err(format!("{other:?} is not known")),
     }
 }
 
+fn kind(v: &Value) -> Result<Kind, String> {
+    let name = v.get("list").and_then(Value::as_str).unwrap_or("");
+    Kind::named(name).ok_or_else(|| format!("there is no list {name:?}: tenants, callers or methods"))
+}
+
+/// A row of a change: a key, and `in`, `out` or `none`, with the Unix time in microseconds at which that ends, if any.
+fn change(kind: Kind, row: &Value) -> Result<Change, String> {
+    let key = row.get("key").and_then(Value::as_str).ok_or("an entry wants its key")?.to_string();
+    let until = row.get("until").and_then(Value::as_u64).unwrap_or(0);
+    let entry = |standing| Ok(Change::Put { kind, key: key.clone(), entry: Entry { standing, until } });
+    match row.get("standing").and_then(Value::as_str) {
+        Some("in") => entry(Standing::In),
+        Some("out") => entry(Standing::Out),
+        Some("none") => Ok(Change::Take { kind, key }),
+        other => Err(format!("an entry is in, out or none, not {other:?}")),
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -10,6 +10,7 @@
 use crate::sidecars::Sidecars;
 use crate::wire::{Asker, ConnId, LinkId, Place, Wire};
 use asterrill::{CallEnd, Final, MethodId, RpcId, RunEnd, Us};
+use asterrill_agree::{caller_key, Gate, Kind};
 use asterrill_engine::{Command, Engine, Outputs, Read, RouteId, Served, Terms};
 use asterrill_net::{Buf, Pool};
 use asterrill_protocol::agent::{self, NoticeId};
@@ -56,6 +57,8 @@
     returning: Option<Returning>,
     /// Of what the settings divide, this server's part over the even one; none where nobody tells.
     part: Option<f64>,
+    /// Whom the agreed lists turn away; none where nobody agrees.
+    gate: Option<Gate>,
     counters: Counters,
 }
 
@@ -208,6 +211,7 @@
                 stamps: Stamps { module: 1, names: 1, queues: 1 },
                 returning: None,
                 part: None,
+                gate: None,
                 counters: Counters::default(),
             },
             now,
@@ -396,6 +400,15 @@
         }
     }
 
+    /// What the agreed lists say from now on.
+    pub fn gate(&mut self, gate: Gate) {
+        self.around.gate = Some(gate);
+    }
+    /// The lease of what they say is over.
+    pub fn lapse(&mut self) {
+        self.around.gate = self.around.gate.as_ref().map(Gate::lapsed);
+    }
+
     /// How this server comes back is attended to from now on.
     pub fn come_back(&mut self, now: Us, returning: Returning, wire: &mut dyn Wire) {
         let care = returning.care();
@@ -474,6 +487,16 @@
         if self.owed_on(place.conn) >= STREAMS || !fine {
             return false;
         }
+        if let Some(gate) = &self.around.gate {
+            let caller = caller_key(ask.caller.0, &mut [0; 20]).to_string();
+            let named =
+                [(Kind::Tenants, &ask.tenant), (Kind::Callers, &caller), (Kind::Methods, &ask.method)];
+            if named.into_iter().any(|(kind, key)| gate.turns_away(kind, key)) {
+                self.around.counters.barred += 1;
+                self.with(now, wire, |engine, now, out| engine.turn_away(now, Asker::Sidecar(place), out));
+                return true;
+            }
+        }
         let server = &self.around.server;
         let method = server.of_methods.get(&ask.method).copied();
         let tenant = server.tenants.get(&ask.tenant).copied();
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -61,6 +61,8 @@
     refusals,
     /// Replies from below that no call waited for.
     late_replies,
+    /// RPCs that the agreed lists turned away.
+    barred,
     /// Times the link to the agent was made.
     agent_up,
     /// Times it was made anew since the agent, or what was heard of a run, had been silent.
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -6,6 +6,7 @@
 use crate::queues::Queues;
 use crate::wire::{ConnId, LinkId, Place, Wire};
 use asterrill::{Final, RpcId, Us};
+use asterrill_agree::Gate;
 use asterrill_net::{elapsed, now, Bell, Outbox, Pool, Room, SIZE};
 use asterrill_protocol::agent::{self, NoticeId};
 use asterrill_protocol::frames::{self, ANSWER_HEAD};
@@ -106,6 +107,8 @@
     conns: u64,
     /// Until when, by the clock that nobody sets, the part that members told is good.
     lease: Us,
+    /// The same of what the agreed lists say.
+    gate: Us,
 }
 
 pub struct Hub {
@@ -145,7 +148,7 @@
             log: log.clone(),
         };
         let ([pool, held], taken) = (pools, Room::new(room));
-        let inner = Inner { core, ports, armed: Us::MAX, conns: 0, lease: Us::MAX };
+        let inner = Inner { core, ports, armed: Us::MAX, conns: 0, lease: Us::MAX, gate: Us::MAX };
         Hub {
             inner: Mutex::new(inner),
             pool,
@@ -172,13 +175,17 @@
     /// Brings one input to the core. Held for the time of the input only, and never over a wait.
     pub fn with<R>(&self, input: impl FnOnce(&mut Core, &mut dyn Wire, Us) -> R) -> R {
         let mut inner = self.inner();
-        let Inner { core, ports, armed, lease, .. } = &mut *inner;
+        let Inner { core, ports, armed, lease, gate, .. } = &mut *inner;
         let told = ports.serving;
         if *lease != Us::MAX && elapsed() > *lease {
             // Whatever it was told is not known any more: it was paused, or starved.
             *lease = Us::MAX;
             core.share(now(), asterrill_membership::SLICES, ports);
         }
+        if *gate != Us::MAX && elapsed() >= *gate {
+            *gate = Us::MAX;
+            core.lapse();
+        }
         let result = input(core, ports, now());
         ports.version = core.version();
         ports.finish(core);
@@ -199,6 +206,13 @@
         self.changes.store(changes, Ordering::Release);
     }
 
+    /// What the agreed lists say, and until when without another word.
+    pub fn gate(&self, gate: Gate, until: Us) {
+        let mut inner = self.inner();
+        inner.core.gate(gate);
+        inner.gate = until;
+    }
+
     /// The clock is set to what the core wants next; hands that back.
     pub fn arm(&self, least: Us) -> Us {
         let mut inner = self.inner();
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -172,7 +172,8 @@
     let peers = match &operator.members {
         Some(file) => {
             let kept = operator.changes.state.as_deref().and_then(|dir| find_members(dir, log));
-            let (peers, socket) = Peers::open(Meet { name: &to.name, file, kept, seed: own }, log)?;
+            let fleet = operator.fleet.as_ref().zip(operator.changes.state.as_deref());
+            let (peers, socket) = Peers::open(Meet { name: &to.name, file, kept, seed: own, fleet }, log)?;
             peers.live(socket, &hub, store.clone())?;
             Some(peers)
         }
@@ -419,6 +420,12 @@
         for (wanted, told) in order.wants {
             let answer = match (&wanted, &peers) {
                 (Wanted::Members, Some(peers)) => peers.told(),
+                (Wanted::Fleet, Some(peers)) => peers.agreed(None),
+                (Wanted::List(kind), Some(peers)) => peers.agreed(Some(*kind)),
+                (Wanted::Wish(wish), Some(peers)) => {
+                    peers.wish(wish.clone(), told);
+                    continue;
+                }
                 _ => changes.want(hub, wanted),
             };
             // Whoever asked may have gone meanwhile.
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -2,8 +2,9 @@
 //! the core and to the operators. Its own lock, its own coroutines: no RPC ever waits for it.
 
 use crate::hub::Hub;
-use crate::store::Store;
+use crate::store::{cut_agreed, find_agreed, Stands, Store};
 use asterrill::Us;
+use asterrill_agree::{Agree, Entry, Gate, Kind, Settled, Wish, Write};
 use asterrill_membership::{
     conduct, Changes, Counts, Event, Id, Kept, Members, Name, Seal, Shown, Standing, Terms,
 };
@@ -11,11 +12,14 @@
 use asterrill_settings::Fault;
 use serde_json::{json, Value};
 use slog::{info, warn, Logger};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::mpsc::SyncSender;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 const KEEP: Us = 10_000_000; // between looks at whether what is kept has changed
+const ROWS: usize = 5_000; // of a list that are shown
 const LINES: usize = 20; // events in the log for each turn; more are counted only
 const WAITING: usize = 4_096; // datagrams that wait to be sent; beyond it the oldest are lost, as on the way
 
@@ -24,6 +28,9 @@
     members: Members,
     out: VecDeque<(SocketAddr, Vec<u8>)>,
     left: bool,
+    agree: Option<Agree>,
+    /// Who waits for what becomes of a wish, by its number.
+    asking: BTreeMap<u64, SyncSender<Value>>,
     /// Events that were not logged one by one.
     untold: u64,
 }
@@ -32,6 +39,8 @@
 pub struct Peers {
     inner: Mutex<Inner>,
     clock: Bell,
+    /// Numbers of writes of a keeper that stand on disk.
+    stands: Arc<Mutex<Vec<u64>>>,
     expect: usize,
     /// A part that was not looked at for so long is not this one's any more.
     lasting: Us,
@@ -44,6 +53,61 @@
     pub file: &'a asterrill_conf::Members,
     pub kept: Option<Kept>,
     pub seed: u64,
+    /// How backends agree, and the directory of a keeper's file.
+    pub fleet: Option<(&'a asterrill_conf::Fleet, &'a Path)>,
+}
+
+/// The agreement of this one with the others, from what stands on disk.
+fn agreement(name: &str, start: u64, fleet: &asterrill_conf::Fleet, dir: &Path) -> Result<Agree, Fault> {
+    let (keepers, lease) = (fleet.keepers.clone(), fleet.lease);
+    let terms = asterrill_agree::Terms { keepers, lease, renew: fleet.renew, tick: fleet.tick };
+    let named = |e: &dyn std::fmt::Display| Fault::new(format!("{}: {e}", dir.join("agreed").display()));
+    let keeper = terms.keepers.iter().any(|keeper| keeper == name);
+    let disk = if keeper { find_agreed(dir).map_err(|e| named(&e))? } else { Vec::new() };
+    let (agree, whole) = Agree::new(elapsed(), name, start, terms, &disk, &[]).map_err(|e| named(&e))?;
+    if keeper && whole < disk.len() {
+        cut_agreed(dir, whole).map_err(|e| named(&e))?;
+    }
+    Ok(agree)
+}
+
+impl Inner {
+    /// Brings words, time and writes that are done to the agreement. Hands back what is to be written, what is acted on
+    /// if that may be another, and when this is wanted next.
+    fn agree(&mut self, at: Us, stands: &Mutex<Vec<u64>>) -> (Vec<Write>, Option<(Gate, Us)>, Us) {
+        let words = self.members.take_words();
+        let Some(agree) = &mut self.agree else { return (Vec::new(), None, Us::MAX) };
+        for number in std::mem::take(&mut *stands.lock().unwrap_or_else(|e| e.into_inner())) {
+            agree.persisted(at, number);
+        }
+        for (from, word) in words {
+            agree.datagram(at, from.as_str(), &word);
+        }
+        if agree.next() <= at {
+            agree.tick(at, now());
+        }
+        for (to, word) in agree.take_out() {
+            if let Some(to) = Name::new(&to) {
+                self.members.say(&to, &word);
+            }
+        }
+        for (number, settled) in agree.take_settled() {
+            let told = match settled {
+                Settled::Done { number, hash } => {
+                    json!({"ok": true, "version": number, "hash": format!("{hash:016x}")})
+                }
+                Settled::Refused(why) => json!({"ok": false, "error": why, "kind": "refused"}),
+                Settled::NoMajority => json!({"ok": false, "kind": "no majority",
+                    "error": "no majority of the keepers answered in time; it may still come to pass"}),
+            };
+            // Whoever asked may have gone meanwhile.
+            self.asking
+                .remove(&number)
+                .iter()
+                .for_each(|asked| asked.try_send(told.clone()).unwrap_or_default());
+        }
+        (agree.take_writes(), agree.take_gate(), agree.next())
+    }
 }
 
 /// Whether the key may be read and the name is one.
@@ -75,10 +139,13 @@
         let members = Members::new(elapsed(), own, seal, terms, contacts, agreed, begin.seed);
         let socket = Datagrams::bind(file.listen);
         let socket = socket.map_err(|e| Fault::new(format!("[members] listen {}: {e}", file.listen)))?;
-        let inner = Inner { members, out: VecDeque::new(), left: false, untold: 0 };
+        let agree = begin.fleet.map(|(fleet, dir)| agreement(begin.name, start, fleet, dir)).transpose()?;
+        let (out, asking) = (VecDeque::new(), BTreeMap::new());
+        let inner = Inner { members, out, left: false, agree, asking, untold: 0 };
         let peers = Peers {
             inner: Mutex::new(inner),
             clock: Bell::default(),
+            stands: Arc::default(),
             expect: file.expect,
             lasting: file.suspicion,
             log: log.clone(),
@@ -106,10 +173,15 @@
             });
         })?;
         let (peers, hub) = (self.clone(), hub.clone());
-        spawn("members' clock", move || peers.attend(&socket, &hub, store))
+        let (rings, numbers) = (self.clone(), self.stands.clone());
+        let stands: Arc<Stands> = Arc::new(move |number| {
+            numbers.lock().unwrap_or_else(|e| e.into_inner()).push(number);
+            rings.clock.ring();
+        });
+        spawn("members' clock", move || peers.attend(&socket, &hub, store, &stands))
     }
 
-    fn attend(&self, socket: &Datagrams, hub: &Hub, store: Option<Store>) {
+    fn attend(&self, socket: &Datagrams, hub: &Hub, store: Option<Store>, stands: &Arc<Stands>) {
         self.clock.attend();
         let (mut keep, mut kept) = (elapsed(), Kept::default());
         loop {
@@ -119,6 +191,13 @@
                 if inner.members.next() <= at {
                     inner.members.tick(at);
                 }
+                let (writes, gate, wait) = inner.agree(at, &self.stands);
+                if let (Some(store), false) = (&store, writes.is_empty()) {
+                    store.keep_agreed(writes, stands);
+                }
+                if let Some((gate, until)) = gate {
+                    hub.gate(gate, until);
+                }
                 let fresh = inner.members.take_out();
                 inner.out.extend(fresh);
                 let over = inner.out.len().saturating_sub(WAITING);
@@ -126,7 +205,7 @@
                 let (out, events) = (std::mem::take(&mut inner.out), inner.members.take_events());
                 let members = &inner.members;
                 let does = conduct(members.view(), members.part(), self.expect, members.size());
-                (out, events, inner.members.next(), does, inner.left)
+                (out, events, inner.members.next().min(wait), does, inner.left)
             };
             // The core learns of a smaller part before anybody else learns anything. It is good for so long only: what
             // is paused, or does not come to look, has nothing when it wakes.
@@ -204,6 +283,51 @@
         self.clock.ring();
     }
 
+    /// An operator wishes something; told once it is settled.
+    pub fn wish(&self, wish: Wish, told: SyncSender<Value>) {
+        let mut inner = self.inner();
+        let Some(agree) = &mut inner.agree else {
+            return told
+                .try_send(json!({"ok": false, "error": "there is no section [fleet]"}))
+                .unwrap_or_default();
+        };
+        let number = agree.wish(wish);
+        inner.asking.insert(number, told);
+        drop(inner);
+        self.clock.ring();
+    }
+    /// For operators: what was agreed on, and how far this one is with it.
+    pub fn agreed(&self, list: Option<Kind>) -> Value {
+        let inner = self.inner();
+        let Some(agree) = &inner.agree else {
+            return json!({"ok": false, "error": "there is no section [fleet]"});
+        };
+        let (gate, until) = agree.gate();
+        let (newest, (acting, _)) = (agree.book().newest(), gate.versions());
+        if let Some(kind) = list {
+            let row = |(key, entry): (&String, &Entry)| {
+                let standing = if entry.standing == asterrill_agree::Standing::In { "in" } else { "out" };
+                json!({"key": key, "standing": standing, "until": entry.until})
+            };
+            let rows: Vec<Value> = newest.list(kind).take(ROWS).map(row).collect();
+            return json!({"ok": true, "list": kind.name(), "version": newest.number, "entries": newest.len(kind),
+                "shown": rows.len(), "rows": rows});
+        }
+        let form = if elapsed() >= until { gate.lapsed().form } else { gate.form };
+        let history: Vec<Value> = agree.book().history().rev().take(20).map(|state| {
+            json!({"version": state.number, "hash": format!("{:016x}", state.hash()), "by": state.by})
+        }).collect();
+        let counts = agree.counts;
+        json!({"ok": true, "form": form.name(), "version": acting, "newest": newest.number,
+            "hash": format!("{:016x}", newest.hash()), "in_force": agree.book().active(),
+            "lease_ms": until.saturating_sub(elapsed()) / 1_000, "stated_ms": agree.terms().stated() / 1_000,
+            "keeper": agree.is_keeper(), "leads": agree.leads(), "leader": agree.leader(),
+            "holders": agree.holders().map(|(all, have)| json!({"all": all, "have": have})),
+            "versions": history,
+            "counters": {"sent": counts.sent, "odd": counts.odd, "renewed": counts.renewed, "lapsed": counts.lapsed,
+                "differs": counts.differs, "fetched": counts.fetched, "dropped": counts.dropped}})
+    }
+
     /// For operators: the view, and each member.
     pub fn told(&self) -> Value {
         let inner = self.inner();
--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -1,6 +1,7 @@
 //! What lasts, on disk: versions of the configuration, and what was learned. Written by one thread of its own, whole or
 //! not at all, the newest wish first; versions before anything else.
 
+use asterrill_agree::Write as Bytes;
 use asterrill_membership::Kept;
 use asterrill_recovery::{Learned, MOST};
 use asterrill_rollout::{recover, Recovered};
@@ -12,6 +13,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 
 const MEMBERS: &str = "members"; // the file of who was there
+const AGREED: &str = "agreed"; // the file of a keeper
 const FORMAT: u32 = 1; // of it
 const LEARNED: &str = "learned"; // the file of what was learned
 
@@ -22,12 +24,18 @@
     probation: Option<String>,
 }
 
+/// Told the number of a write that stands on disk.
+pub type Stands = dyn Fn(u64) + Send + Sync;
+
 /// What is to be written next.
 #[derive(Default)]
 struct Wanted {
     records: Option<Records>,
     learned: Option<Learned>,
     members: Option<String>,
+    /// What a keeper has to have on disk, in this order, and who is told once it stands there.
+    agreed: Vec<Bytes>,
+    stands: Option<Arc<Stands>>,
 }
 
 #[derive(Default)]
@@ -133,6 +141,14 @@
         self.0.wanted().members = Some(text);
         self.0.news.notify_one();
     }
+    /// What a keeper has to have on disk: each of it is written, in this order.
+    pub fn keep_agreed(&self, writes: Vec<Bytes>, stands: &Arc<Stands>) {
+        let mut wanted = self.0.wanted();
+        wanted.agreed.extend(writes);
+        wanted.stands = Some(stands.clone());
+        drop(wanted);
+        self.0.news.notify_one();
+    }
     /// Times that it could not be written.
     pub fn failed(&self) -> u64 {
         self.0.failed.load(Ordering::Relaxed)
@@ -146,14 +162,20 @@
 }
 
 fn write_all(desk: &Desk, dir: &Path, log: &Logger) {
+    let mut broken = false;
     let mut told = 0_u64; // a directory that stays full or read-only is told of at its first, second, fourth failure
     loop {
         let mut wanted = desk.wanted();
-        while wanted.records.is_none() && wanted.learned.is_none() && wanted.members.is_none() {
+        while wanted.records.is_none()
+            && wanted.learned.is_none()
+            && wanted.members.is_none()
+            && wanted.agreed.is_empty()
+        {
             wanted = desk.news.wait(wanted).unwrap_or_else(|e| e.into_inner());
         }
         let (records, learned) = (wanted.records.take(), wanted.learned.take());
         let members = wanted.members.take();
+        let (agreed, stands) = (std::mem::take(&mut wanted.agreed), wanted.stands.clone());
         drop(wanted);
         let versions = records.map_or(Ok(()), |records| write(dir, &records));
         let learned = learned.map_or(Ok(()), |learned| put(dir, &dir.join(LEARNED), &learned.write()));
@@ -161,7 +183,10 @@
             let sealed = asterrill_recovery::seal(MEMBERS, FORMAT, &text);
             put(dir, &dir.join(MEMBERS), &sealed)
         });
-        for fault in [versions, learned, members].into_iter().filter_map(Result::err) {
+        // After a failure nothing more is said to stand: what is there may end in the middle. A restart reads it anew.
+        let agreed = if broken { Ok(()) } else { keep(dir, &agreed, stands.as_deref()) };
+        broken |= agreed.is_err();
+        for fault in [versions, learned, members, agreed].into_iter().filter_map(Result::err) {
             let failed = desk.failed.fetch_add(1, Ordering::Relaxed) + 1;
             if failed >= told * 2 {
                 told = failed;
@@ -191,10 +216,48 @@
     }
 }
 
+/// The file of a keeper: appended to, or made anew; one sync for all that came together.
+fn keep(dir: &Path, writes: &[Bytes], stands: Option<&Stands>) -> io::Result<()> {
+    let Some(last) = writes.last() else { return Ok(()) };
+    let path = dir.join(AGREED);
+    let mut file = None;
+    for write in writes {
+        if write.anew {
+            file = None;
+            put_bytes(dir, &path, &write.bytes)?;
+        } else {
+            let open = || File::options().append(true).create(true).open(&path);
+            let mut to = file.take().map_or_else(open, Ok)?;
+            to.write_all(&write.bytes)?;
+            file = Some(to);
+        }
+    }
+    file.map_or(Ok(()), |file| file.sync_all())?;
+    stands.iter().for_each(|stands| stands(last.number));
+    Ok(())
+}
+
+/// The bytes of a keeper's file.
+pub fn find_agreed(dir: &Path) -> io::Result<Vec<u8>> {
+    match std::fs::read(dir.join(AGREED)) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(Vec::new()),
+        read => read,
+    }
+}
+/// What follows the whole records of a keeper's file is cut off.
+pub fn cut_agreed(dir: &Path, whole: usize) -> io::Result<()> {
+    let file = File::options().write(true).create(true).truncate(false).open(dir.join(AGREED))?;
+    file.set_len(whole as u64)?;
+    file.sync_all()
+}
+
 fn put(dir: &Path, path: &PathBuf, text: &str) -> io::Result<()> {
+    put_bytes(dir, path, text.as_bytes())
+}
+fn put_bytes(dir: &Path, path: &PathBuf, bytes: &[u8]) -> io::Result<()> {
     let beside = path.with_extension("new");
     let mut file = File::create(&beside)?;
-    file.write_all(text.as_bytes())?;
+    file.write_all(bytes)?;
     file.sync_all()?;
     std::fs::rename(&beside, path)?;
     File::open(dir)?.sync_all()
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -255,6 +255,14 @@
         out.answer(place, Final::Aborted, self.credit, None);
     }
 
+    /// An RPC of somebody who is not to be served here: it never runs, and is told so at once.
+    pub fn turn_away(&mut self, now: Us, place: P, out: &mut dyn Outputs<P>) {
+        self.pass(now);
+        self.counts.rpcs += 1;
+        self.counts.pushed_back += 1;
+        out.answer(place, Final::PushedBack { terminal: true, come_back: 0 }, self.credit, None);
+    }
+
     /// Nobody waits for the answer at this place any more. False if none was owed.
     pub fn gone(&mut self, now: Us, place: P, out: &mut dyn Outputs<P>) -> bool {
         self.pass(now);
--- a/lab/src/fleet/members.rs
+++ b/lab/src/fleet/members.rs
@@ -24,7 +24,7 @@
 const GREET: u64 = 500;
 const SETTLE: u64 = 1_000;
 const SECTIONS: &str = "[changes]\ncontrol {dir}/control\nstate {dir}/state\n";
-const FILE: &str =
+pub const FILE: &str =
     "[changes]\ncontrol {dir}/control\nstate {dir}/state\n[members]\ncluster lab\nlisten {own}\n\
     advertise {relay}\nkey-file {password}\n{contacts}probe 150ms\nsuspicion 900ms\ngreet 500ms\nsettle 1s\n";
 const SHARE: f64 = 2.5; // calls at a time, of each
@@ -193,17 +193,18 @@
     part: f64,
 }
 
-fn ask(dir: &Path) -> Option<Value> {
+/// Asks a process over its control socket.
+pub fn ask(dir: &Path, request: &Value) -> Option<Value> {
     let mut stream = UnixStream::connect(dir.join("control")).ok()?;
-    stream.set_read_timeout(Some(ms(400))).ok()?;
-    stream.write_all(b"{\"v\": 1, \"do\": \"members\"}\n").ok()?;
+    stream.set_read_timeout(Some(ms(if request["do"] == json!("members") { 400 } else { 6_000 }))).ok()?;
+    stream.write_all(format!("{request}\n").as_bytes()).ok()?;
     let mut line = String::new();
     BufReader::new(stream).read_line(&mut line).ok()?;
     serde_json::from_str(&line).ok()
 }
 
 fn look(fleet: &Fleet, node: usize) -> Option<Look> {
-    let told = ask(&fleet.members[node].node.dir)?;
+    let told = ask(&fleet.members[node].node.dir, &json!({"v": 1, "do": "members"}))?;
     let failed = told["members"].as_array()?.iter().filter(|m| m["standing"] == json!("failed"));
     let number = |m: &Value| m["name"].as_str()?.strip_prefix('n')?.parse().ok();
     Some(Look {
@@ -215,7 +216,7 @@
     })
 }
 
-fn setup(methods: &[Method], nodes: usize) -> Setup {
+pub fn setup(methods: &[Method], nodes: usize) -> Setup {
     Setup {
         methods: methods.to_vec(),
         cores: 2,
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Several real processes among stand-ins, with faults between them. Issues of the whole fleet share this rig.
 
+pub mod agree;
 pub mod callers;
 pub mod members;
 pub mod mesh;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -82,6 +82,8 @@
     FleetReturn,
     /// Processes that know each other, with cuts, losses, pauses and deaths between them
     FleetMembers,
+    /// Processes that agree on lists, with cuts, pauses and deaths between them
+    FleetAgree,
     /// CPU of a framed RPC at one of twenty processes, with members and without, in turns
     MembersCpu,
     /// CPU of a framed RPC, this build and another in turns
@@ -101,6 +103,7 @@
             Scenario::FramedCpu => "framed-cpu",
             Scenario::FleetReturn => "fleet-return",
             Scenario::FleetMembers => "fleet-members",
+            Scenario::FleetAgree => "fleet-agree",
             Scenario::MembersCpu => "members-cpu",
             Scenario::RecoveryCpu => "recovery-cpu",
             Scenario::ConfigRollback => "config-rollback",
@@ -127,7 +130,7 @@
             Scenario::ConfigCrash => config::crash(report, to.seed),
             Scenario::ConfigStorm => config::storm(report, to.seed, to.messages.unwrap_or(1_000), to.rate),
             Scenario::RecoveryCpu => amqp::recovery_cpu(report, to.seed, span(4), to.rate),
-            Scenario::FleetReturn | Scenario::FleetMembers => {
+            Scenario::FleetReturn | Scenario::FleetMembers | Scenario::FleetAgree => {
                 let (script, plot, other) = (to.script.clone(), to.plot.clone(), to.other.clone());
                 let terms = fleet::returns::Terms {
                     seed: to.seed,
@@ -140,6 +143,7 @@
                 };
                 match self {
                     Scenario::FleetReturn => fleet::returns::scenario(report, &terms),
+                    Scenario::FleetAgree => fleet::agree::scenario(report, &terms),
                     _ => fleet::members::scenario(report, &terms),
                 }
             }
--- a/membership/src/members.rs
+++ b/membership/src/members.rs
@@ -19,10 +19,11 @@
 const MOST: usize = 2048; // members that are kept in mind, those that failed included
 const PACKET: usize = 1200; // bytes of a datagram's payload: whole on any path
 const TIMERS: usize = 4 * MOST;
+const WORDS: usize = 4_096; // of other members that wait to be taken
 const EVENTS: usize = 1024; // that wait to be told; older ones go
 const SOURCES: usize = 4096; // addresses whose rates are watched
-const BURST: f64 = 200.0; // datagrams that one address may send at once
-const RATE: f64 = 100.0; // and those a second
+const BURST: f64 = 2_000.0; // datagrams that one address may send at once
+const RATE: f64 = 1_000.0; // and those a second
 const FLAPS: f64 = 2.5; // times that a member came back, over `calm`, until it counts as flapping
 const HELD: Us = 20_000; // a wake up to so late is a busy machine, not a pause
 
@@ -176,6 +177,7 @@
 /// What a payload begins with.
 const SWIM: u8 = 0;
 const LEAVING: u8 = 1;
+const WORD: u8 = 2;
 
 /// See the package's page.
 pub struct Members {
@@ -200,6 +202,7 @@
     chance: StdRng,
     out: Vec<(SocketAddr, Vec<u8>)>,
     events: VecDeque<Event>,
+    words: VecDeque<(Name, Vec<u8>)>,
     leaving: bool,
     /// A later start of the same name is about: this one says nothing any more.
     displaced: bool,
@@ -268,6 +271,7 @@
             chance,
             out: Vec::new(),
             events: VecDeque::new(),
+            words: VecDeque::new(),
             leaving: false,
             displaced: false,
             doubts: None,
@@ -385,6 +389,7 @@
         match payload.split_first() {
             Some((&SWIM, rest)) => self.swim(sender, start, rest),
             Some((&LEAVING, _)) => self.other_leaves(sender, start),
+            Some((&WORD, word)) => self.word(sender, start, word),
             _ => self.counts.odd += 1,
         }
         self.settle();
@@ -507,6 +512,33 @@
         out
     }
 
+    /// A word of a member for what is built on members.
+    fn word(&mut self, sender: u64, start: u64, word: &[u8]) {
+        let name = self
+            .senders
+            .get(&sender)
+            .filter(|name| self.known.get(*name).is_some_and(|k| k.id.start == start));
+        match name {
+            Some(name) if self.words.len() < WORDS => self.words.push_back((name.clone(), word.to_vec())),
+            Some(_) => self.counts.full += 1,
+            None => self.counts.odd += 1,
+        }
+    }
+    /// Words that came since the last time, and whose they are.
+    pub fn take_words(&mut self) -> Vec<(Name, Vec<u8>)> {
+        self.words.drain(..).collect()
+    }
+    /// Says a word to a member, wherever it is; lost if nobody knows of it, as on the way.
+    pub fn say(&mut self, to: &Name, word: &[u8]) {
+        if self.displaced || self.leaving {
+            return;
+        }
+        let there = |k: &&Known| k.standing != Standing::Left && !k.id.at.ip().is_unspecified();
+        if let Some(at) = self.known.get(to).filter(there).map(|k| k.id.at) {
+            self.send(at, &[&[WORD], word].concat());
+        }
+    }
+
     fn other_leaves(&mut self, sender: u64, start: u64) {
         let Some(name) = self.senders.get(&sender).cloned() else { return };
         let Some(known) = self.known.get_mut(&name).filter(|k| k.id.start == start) else { return };
--- a/membership/src/tests.rs
+++ b/membership/src/tests.rs
@@ -400,10 +400,10 @@
 fn a_flood_of_one_address_and_of_invented_members_is_bounded() {
     let mut a = member(START, 0, 1, 2, 0);
     let mut b = Seal::new(b"a secret of the tests", "test", "n1", 1);
-    for _ in 0..1_000 {
+    for _ in 0..3_000 {
         a.datagram(START, at(1), &b.seal(&[9]));
     }
-    assert_eq!((a.counts.flooded, a.counts.odd), (800, 200));
+    assert_eq!((a.counts.flooded, a.counts.odd), (1_000, 2_000));
     // Ten thousand names, each a member of its own that knows the key.
     let mut a = member(START, 0, 1, 2, 0);
     for n in 0..10_000_usize {
