--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -1005,3 +1005,39 @@
         assert!(w.out.called.len() > 1, "what is answered opens it");
     }
 }
+
+#[test]
+fn whom_the_agreed_lists_turn_away_never_runs_and_is_told_so_and_a_lease_that_ends_leaves_the_safe_form() {
+    use asterrill_agree::{Change, Entry, Gate, Kind, Standing, State, Step};
+    let put = |kind, key: &str, standing| Change::Put {
+        kind,
+        key: key.into(),
+        entry: Entry { standing, until: 0 },
+    };
+    let step = |state: &State, changes| state.step(&Step { base: None, by: "n1".into(), changes }).unwrap();
+    let one = step(
+        &State::default(),
+        vec![put(Kind::Callers, "1", Standing::In), put(Kind::Callers, "2", Standing::Out)],
+    );
+    let two = step(&one, vec![put(Kind::Callers, "1", Standing::Out)]);
+    let mut world = World::new(5);
+    let turned = |world: &mut World| {
+        [1, 2, 3].map(|conn| {
+            let (launched, place) = (world.out.runs.len(), world.ask(conn, "look", 800 * MS, None));
+            let told = world.out.answers.get(&place).is_some_and(|(what, _)| *what == "pushed back");
+            assert!(!told || world.out.runs.len() == launched, "it runs and is turned away");
+            // What runs ends, so that nobody else is in the way.
+            (0..4).for_each(|n| world.play(n + 1, false));
+            world.read_notices(usize::MAX);
+            told
+        })
+    };
+    assert_eq!(turned(&mut world), [false; 3], "nobody agrees on anything yet");
+    world.core.gate(Gate::full(one.clone()));
+    assert_eq!(turned(&mut world), [false, true, false]);
+    world.core.gate(Gate::between(one, two));
+    assert_eq!(turned(&mut world), [true, true, false], "the stricter of the two");
+    world.core.lapse();
+    assert_eq!(turned(&mut world), [true, true, false], "a word may have been taken back");
+    assert_eq!((world.core.counted().barred, world.out.faults.len()), (5, 0));
+}
--- a/lab/src/fleet/members.rs
+++ b/lab/src/fleet/members.rs
@@ -1,8 +1,7 @@
 //! `fleet-members`: real processes that know each other, and cuts, losses, pauses and deaths between them. What each
 //! says of its view is asked of it; what it took of a shared limit is in the layer's own account.
 
-use super::callers::Habits;
-use super::returns::{methods, ms, share, shares, Terms, COLD, RAMP, WEIGHTS};
+use super::returns::{habits, methods, ms, share, Terms, COLD, RAMP, WEIGHTS};
 use super::script::{self, Line, Played, What};
 use super::{mean_work, Fleet, Plan};
 use crate::amqp::{self, LOOK, PRICE, UPDATE};
@@ -13,7 +12,7 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Write};
 use std::os::unix::net::UnixStream;
 use std::path::Path;
@@ -246,20 +245,9 @@
     let slots = (SHARE * nodes as f64 * 4.0) as usize; // what is over the whole is served all the same, and seen
     let plan = Plan { nodes, setup, cold: COLD, slots, call: CALL, mesh: Some(terms.seed) };
     let mut fleet = Fleet::start(&plan)?;
-    let listed = Instant::now() + ms(8_000);
-    while fleet.naming.listed(Duration::ZERO).len() < nodes && Instant::now() < listed {
-        std::thread::sleep(ms(20));
-    }
-    std::thread::sleep(ms(2_100));
+    fleet.listed();
     let offset = fleet.at_ms();
-    let habits = Habits {
-        shares: shares(&methods),
-        once: vec![UPDATE.name],
-        callers: 6,
-        rate,
-        deaf: 1.0 / 6.0,
-        seed: terms.seed,
-    };
+    let habits = habits(rate, terms.seed);
     let callers = fleet.callers(&habits);
     let (mut played, mut looks, mut next) = (Played::default(), Vec::new(), 0);
     let fresh = Truth { up: vec![true; nodes], awake: vec![true; nodes], cut: BTreeSet::new(), rough: false };
@@ -403,14 +391,7 @@
     };
     let unanswered = seen.played.excuse(&ledger.unanswered);
     let (calm, cut) = (times(begun - 4_000, begun), times(begun, over.max(begun + 1_000)));
-    let mut runs: BTreeMap<Vec<u8>, u64> = BTreeMap::new();
-    for member in &fleet.members {
-        for (body, n) in member.agent.runs().of.iter().filter(|(b, _)| b.starts_with(UPDATE.name.as_bytes()))
-        {
-            *runs.entry(body.clone()).or_default() += n;
-        }
-    }
-    let twice: u64 = runs.values().map(|n| n - 1).sum();
+    let twice = fleet.effects_twice(UPDATE.name);
     let silent = fleet.members.iter().all(|m| !m.node.read_log().contains("panick"));
     let carried = fleet.mesh.as_ref().map_or(0, |mesh| mesh.carried());
     let parts = |from: u64, to: u64| {
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -112,6 +112,24 @@
         let of: BTreeMap<String, (usize, SocketAddr)> = self.members.iter().enumerate().map(of).collect();
         Targets { of: Arc::new(of) }
     }
+    /// Waits until callers find all of them: lists are late.
+    pub fn listed(&self) {
+        let until = Instant::now() + Duration::from_secs(8);
+        while self.naming.listed(Duration::ZERO).len() < self.members.len() && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        std::thread::sleep(Duration::from_millis(2_100));
+    }
+    /// Runs beyond the first of bodies that begin so, over all agents.
+    pub fn effects_twice(&self, begins: &str) -> u64 {
+        let mut runs: BTreeMap<Vec<u8>, u64> = BTreeMap::new();
+        for member in &self.members {
+            for (body, n) in member.agent.runs().of.iter().filter(|(b, _)| b.starts_with(begins.as_bytes())) {
+                *runs.entry(body.clone()).or_default() += n;
+            }
+        }
+        runs.values().map(|n| n - 1).sum()
+    }
     pub fn callers(&self, habits: &Habits) -> Callers {
         Callers::start(self.start, habits, &self.targets(), &self.naming)
     }
--- a/lab/src/fleet/returns.rs
+++ b/lab/src/fleet/returns.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -69,7 +69,7 @@
     ]
 }
 
-pub fn shares(methods: &[Method]) -> Vec<Share> {
+fn shares(methods: &[Method]) -> Vec<Share> {
     let share = |(m, weight): (&Method, u32)| Share {
         method: m.name,
         weight,
@@ -80,6 +80,12 @@
     methods.iter().zip(WEIGHTS).map(share).collect()
 }
 
+/// Six callers, one of them deaf, who ask for three methods so often.
+pub fn habits(rate: f64, seed: u64) -> Habits {
+    let shares = shares(&methods());
+    Habits { shares, once: vec![UPDATE.name], callers: 6, rate, deaf: 1.0 / 6.0, seed }
+}
+
 /// The share of all cores that is asked for.
 fn load(kind: Kind, seed: u64) -> f64 {
     match kind {
@@ -249,21 +255,9 @@
         shared: None,
     };
     let mut fleet = Fleet::start(&Plan { nodes: terms.nodes, setup, cold: COLD, slots, call, mesh: None })?;
-    // Callers come once backends are listed.
-    let listed = Instant::now() + ms(8_000);
-    while fleet.naming.listed(Duration::ZERO).len() < terms.nodes && Instant::now() < listed {
-        std::thread::sleep(ms(20));
-    }
-    std::thread::sleep(ms(2_100)); // and their lists are late
+    fleet.listed(); // callers come once backends are
     let offset = fleet.at_ms();
-    let habits = Habits {
-        shares: shares(&methods),
-        once: vec![UPDATE.name],
-        callers: 6,
-        rate,
-        deaf: 1.0 / 6.0,
-        seed: terms.seed,
-    };
+    let habits = habits(rate, terms.seed);
     let callers = fleet.callers(&habits);
     let mut played = Played::default();
     let end =
@@ -353,17 +347,7 @@
         }
     }
     drop(desk);
-    let twice = {
-        let mut runs: std::collections::BTreeMap<Vec<u8>, u64> = std::collections::BTreeMap::new();
-        for member in &fleet.members {
-            for (body, n) in
-                member.agent.runs().of.iter().filter(|(b, _)| b.starts_with(UPDATE.name.as_bytes()))
-            {
-                *runs.entry(body.clone()).or_default() += n;
-            }
-        }
-        runs.values().map(|n| n - 1).sum()
-    };
+    let twice = fleet.effects_twice(UPDATE.name);
     let logs: Vec<String> = fleet.members.iter().map(|m| m.node.read_log()).collect();
     let snapshots_failed = logs.iter().map(|l| l.matches("could not be written").count() as u64).sum();
     let silent = logs.iter().all(|log| !log.contains("panick"));
