A full disk, with real processes and in the store: what stood there stays, service goes on

In the store: the record that stood there is read again, and a keeper is never told that a write stands.

--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -295,6 +295,29 @@
         std::fs::remove_dir_all(dir).unwrap();
     }
 
+    #[test]
+    fn a_full_disk_leaves_what_stood_there_and_nothing_of_a_keeper_is_said_to_stand() {
+        let dir = dir("full");
+        write(&dir, &Records { good: record(1), probation: None }).unwrap();
+        for name in ["good.new", "agreed"] {
+            std::os::unix::fs::symlink("/dev/full", dir.join(name)).unwrap();
+        }
+        let store = Store::start(&dir, &log()).unwrap();
+        let said = Arc::new(AtomicU64::new(0));
+        let counts = said.clone();
+        let stands: Arc<Stands> = Arc::new(move |_| drop(counts.fetch_add(1, Ordering::Relaxed)));
+        store.keep(record(2), None);
+        store.keep_agreed(vec![Bytes { number: 1, bytes: vec![1; 64], anew: false }], &stands);
+        let until = std::time::Instant::now() + std::time::Duration::from_secs(5);
+        while store.failed() < 2 {
+            assert!(std::time::Instant::now() < until);
+            std::thread::sleep(std::time::Duration::from_millis(5));
+        }
+        assert_eq!(find(&dir, &log()).good.map(|r| r.number), Some(1));
+        assert_eq!(said.load(Ordering::Relaxed), 0);
+        std::fs::remove_dir_all(dir).unwrap();
+    }
+
     #[test]
     fn a_place_that_can_not_be_written_is_counted_and_nothing_else_happens() {
         let store = Store::start(Path::new("/proc/nowhere"), &log()).unwrap();
--- a/lab/src/fleet/script.rs
+++ b/lab/src/fleet/script.rs
@@ -7,7 +7,7 @@
 //! 7000 pause n3 / resume n3  # SIGSTOP, SIGCONT
 //! 7000 term n4               # SIGTERM
 //! 7000 crash n5              # SIGKILL of the process alone, and a start: its agent goes on
-//! 6200 state n0 lost         # of its state directory: lost, torn, old, other, readonly
+//! 6200 state n0 lost         # of its state directory: lost, torn, old, other, readonly, full
 //! 6200 state n0 swap n1
 //! 8000 below gone / below back 0.33
 //! 9000 agent n2 hang / agent n2 pass        # the link stands and carries nothing
@@ -69,6 +69,8 @@
     /// Of another deployment.
     Other,
     ReadOnly,
+    /// Whatever is written there finds no room.
+    Full,
     Swap(usize),
 }
 
@@ -97,6 +99,7 @@
             What::State(Spoil::Old) => write!(f, "{at} state {whom} old"),
             What::State(Spoil::Other) => write!(f, "{at} state {whom} other"),
             What::State(Spoil::ReadOnly) => write!(f, "{at} state {whom} readonly"),
+            What::State(Spoil::Full) => write!(f, "{at} state {whom} full"),
             What::State(Spoil::Swap(with)) => write!(f, "{at} state {whom} swap n{with}"),
             What::BelowGone => write!(f, "{at} below gone"),
             What::BelowBack(speed) => write!(f, "{at} below back {speed}"),
@@ -159,6 +162,7 @@
         ["state", list, "old"] => (What::State(Spoil::Old), members(list)?),
         ["state", list, "other"] => (What::State(Spoil::Other), members(list)?),
         ["state", list, "readonly"] => (What::State(Spoil::ReadOnly), members(list)?),
+        ["state", list, "full"] => (What::State(Spoil::Full), members(list)?),
         ["state", list, "swap", with] => (What::State(Spoil::Swap(member(with)?)), members(list)?),
         ["below", "gone"] => (What::BelowGone, vec![]),
         ["below", "back", speed] => {
@@ -355,6 +359,14 @@
                 std::fs::remove_dir_all(self.state(n)).unwrap_or_default();
                 std::fs::write(self.state(n), "no directory")?;
             }
+            Spoil::Full => {
+                // Each file is written beside its place: there, into a device that is always full.
+                for name in ["learned", "good", "probation", "members"] {
+                    let beside = self.state(n).join(name).with_extension("new");
+                    std::fs::remove_file(&beside).unwrap_or_default();
+                    std::os::unix::fs::symlink("/dev/full", &beside)?;
+                }
+            }
             Spoil::Swap(with) => {
                 let other = self.state(*with).join("learned");
                 let theirs = std::fs::read_to_string(&other).unwrap_or_default();
@@ -400,7 +412,7 @@
 
     #[test]
     fn a_script_is_read_as_it_is_printed_and_odd_lines_are_named() {
-        let text = "6000 kill n0,n2\n6100 state n0 swap n1\n6200 state n2 old\n6300 start n0,n1,n2\n\
+        let text = "6000 kill n0,n2\n6100 state n0 swap n1\n6200 state n2 old\n6250 state n2 full\n6300 start n0,n1,n2\n\
                     7000 below gone\n7100 below back 0.33\n7200 agent n1 hang\n7250 agent n0,n1 delay 20\n7260 naming gone\n7300 callers reconnect\n\
                     7400 net split n0|n1,n2\n7500 net mute n0\n7600 net lossy 15\n7700 net heal\n7800 net flood n2\n";
         let lines = parse(text, 3).unwrap();
