Callers that state no patience are due by their method's deadline, not aborted

Checked: what its sidecars send, printed in a trial copy: route, trace, born, client, size, order, entity; no patience and no customer, as its settings say (PassesDeadline false, no Tenants). Ruled out: tenants (none are known, so none is asked for) and the connections (no reset, nothing broken off). At fault: Reader::ask in protocol/src/frames.rs took a missing patience for nonsense, so each RPC was aborted and four of them closed the connection. Now the time is passed on as not told, and the module counts the method's deadline from the arrival, as it always could. The new test of protocol/ fails on the code before: 'Odd(StreamId(1))' where patience is left out.

--- a/daemon/src/queues.rs
+++ b/daemon/src/queues.rs
@@ -304,7 +304,7 @@
             method: offer.method,
             tenant: offer.tenant,
             caller: offer.caller,
-            due: offer.due,
+            due: Some(offer.due),
             unread: 0,
             size_kb: offer.size_kb,
             key: None,
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -33,8 +33,8 @@
     pub method: MethodId,
     pub tenant: Option<usize>,
     pub caller: CallerId,
-    /// When its caller stops waiting.
-    pub due: Us,
+    /// When its caller stops waiting, where that is told; else the deadline of its method counts from its arrival.
+    pub due: Option<Us>,
     /// How long it lay unread here, in microseconds.
     pub unread: Us,
     /// Memory taken while it is held, in kB.
@@ -235,7 +235,7 @@
             id,
             method,
             caller: read.caller,
-            due: Some(read.due),
+            due: read.due,
             size_kb: read.size_kb,
             unread: read.unread,
             repeat: false,
--- a/protocol/src/frames.rs
+++ b/protocol/src/frames.rs
@@ -29,8 +29,8 @@
     pub caller: CallerId,
     /// When it came to the machine.
     pub born: Us,
-    /// When its caller stops waiting.
-    pub due: Us,
+    /// When its caller stops waiting, where callers tell: some sites' never do.
+    pub due: Option<Us>,
     pub size_kb: f64,
     pub key: Option<u64>,
 }
@@ -256,6 +256,10 @@
         let milliseconds = |name| whole(name).filter(|ms| *ms < 1 << 50);
         let born = milliseconds("born")? * 1000;
         // The rank is not used, but one out of its range tells of nonsense.
+        let patience = match self.value("patience") {
+            Some(_) => Some(milliseconds("patience")? * 1000),
+            None => None,
+        };
         let rank = self.value("order").map_or(Some(0.0), |rank| rank.parse::<f64>().ok());
         rank.filter(|rank| (0.0..1.0).contains(rank))?;
         let key = match self.value("entity") {
@@ -269,7 +273,7 @@
             tenant: self.value("customer").unwrap_or("").to_string(),
             caller: CallerId(whole("client")?),
             born,
-            due: born + milliseconds("patience")? * 1000,
+            due: patience.map(|patience| born + patience),
             size_kb: self.value("size")?.parse().ok().filter(|kb: &f64| *kb > 0.0 && *kb < 2000.0)?,
             key,
         })
--- a/protocol/src/tests.rs
+++ b/protocol/src/tests.rs
@@ -170,6 +170,24 @@
     assert!(said[0].contains("Odd") && said[1].contains("Rpc"));
 }
 
+#[test]
+fn what_other_customers_leave_out_is_no_fault_of_theirs() {
+    let (_, feed) = MACHINES[0];
+    // Sites whose callers state no patience, have no tenants, or write: the fields are not there.
+    for left_out in
+        [&["patience"][..], &["customer"], &["entity"], &["patience", "customer", "entity", "order"]]
+    {
+        let some: Vec<_> = ASK.into_iter().filter(|(name, _)| !left_out.contains(name)).collect();
+        let (said, broken) = feed(&[&rpc(1, &some, b"")]);
+        assert!(said.len() == 1 && said[0].starts_with("Rpc") && broken.is_none(), "{left_out:?}: {said:?}");
+    }
+    // One that is there has to make sense, and what always comes has to be there.
+    for left_out in ["route", "trace", "born", "client", "size"] {
+        let some: Vec<_> = ASK.into_iter().filter(|(name, _)| *name != left_out).collect();
+        assert!(feed(&[&rpc(1, &some, b"")]).0[0].starts_with("Odd"), "{left_out}");
+    }
+}
+
 #[test]
 fn lines_and_bodies_have_bounds() {
     let (_, feed) = MACHINES[1];
