Repeats of tokened RPCs are known by method, tenant and body, and share one run

Checked: a trial copy printed what each try carries. Tokened methods have no entity and a new trace each; method, tenant and body were the same for all tries of an RPC (920 of 920) and for nothing else; the caller is not, where clients ask again by themselves (470 of 600 came by two sidecars). Ruled out: a field that is passed over (none came), size (differs). At fault: Read in daemon/src/core.rs had no token, so Engine::rpc_read passed no prior of a tokened method on. engine/src/tokens.rs keeps what is known, bounded, reckoned from the arrival of the try that ran. Who waited for a try that never ran now takes its place, where it was aborted. The new test of the core fails on the code before: 'one run for all tries: left 2, right 1'.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -9,9 +9,9 @@
 use crate::service::Service;
 use crate::sidecars::Sidecars;
 use crate::wire::{Asker, ConnId, LinkId, Place, Wire};
-use asterrill::{CallEnd, Final, MethodId, RpcId, RunEnd, Us};
+use asterrill::{CallEnd, Effect, Final, MethodId, RpcId, RunEnd, Us};
 use asterrill_agree::{caller_key, Gate, Kind};
-use asterrill_engine::{Command, Engine, Outputs, Read, RouteId, Served, Terms};
+use asterrill_engine::{Command, Engine, Outputs, Read, RouteId, Served, Terms, Token};
 use asterrill_net::{Buf, Pool};
 use asterrill_protocol::agent::{self, NoticeId};
 use asterrill_protocol::frames::{Ask, StreamId, STREAMS};
@@ -24,6 +24,7 @@
 const ASKING: usize = 64; // thorough checks that wait at a time; more are answered from store
 const IDS: usize = 4; // tried for a message of a queue, until it waits like one that was pushed back
 const METHODS: usize = 1024; // that there ever were: each keeps its place
+const RESULTS: usize = 2; // results of tokened RPCs may take half of what bodies in hand may
 const FLUSH: Us = 100_000; // kept free before the kill, to write out what is owed
 
 /// Ids that may wait for the same exercise of the agent.
@@ -36,6 +37,7 @@
 
 pub struct Core {
     engine: Engine<Asker, Buf>,
+    held: Pool,
     around: Around,
     now: Us,
     chance: WyRand,
@@ -78,6 +80,8 @@
     /// The same for methods that were removed as well: they keep their place for what is in hand.
     slots: std::collections::BTreeMap<String, MethodId>,
     tenants: std::collections::BTreeMap<String, usize>,
+    /// Of methods by their places: repeats are known by a token, and not run again.
+    tokened: Vec<bool>,
     /// Of methods that there are, their latency targets.
     targets: std::collections::BTreeMap<String, Us>,
     gauges: Vec<String>,
@@ -96,15 +100,33 @@
 }
 
 /// Takes a server apart: the module, its terms and its names.
-fn parts(server: Server) -> (asterrill::Control, Terms, Names) {
+fn parts(server: Server, results: usize) -> (asterrill::Control, Terms, Names) {
     let mut methods = vec![String::new(); server.methods.len()];
     for (name, id) in &server.methods {
         methods[id.0] = name.clone();
     }
     let (slots, targets) = (server.methods.clone(), targets(&server));
+    let tokened = server.effects.iter().map(|effect| *effect == Effect::Tokened).collect();
     let (of_methods, tenants, gauges) = (server.methods, server.tenants, server.gauges);
-    let names = Names { methods, of_methods, slots, tenants, targets, gauges };
-    (server.control, Terms { shares: server.shares, fresh: server.fresh }, names)
+    let names = Names { methods, of_methods, slots, tenants, tokened, targets, gauges };
+    (
+        server.control,
+        Terms { shares: server.shares, fresh: server.fresh, results, longest: server.longest },
+        names,
+    )
+}
+
+/// By what the tries of one tokened RPC are known. The protocol has no field for it, and each try has an id of its own;
+/// what stays the same is the method, the tenant and the body. A client that asks again may come by another sidecar, so
+/// the caller is left out (`docs/program.md`).
+fn token(method: &str, tenant: &str, body: &[u8]) -> Token {
+    let mut hash = blake3::Hasher::new();
+    for name in [method, tenant] {
+        hash.update(&(name.len() as u64).to_be_bytes()).update(name.as_bytes());
+    }
+    let mut token = [0; 16];
+    hash.update(body).finalize_xof().fill(&mut token);
+    Token(token)
 }
 
 /// The engine's outputs, carried out by what surrounds it.
@@ -194,9 +216,11 @@
         let service = Service::new(now, server.targets.clone());
         let (mut agent, longest) = (Agent::default(), server.targets.iter().max().copied());
         agent.target(longest.unwrap_or(0));
-        let (control, terms, server) = parts(server);
+        let (control, terms, server) = parts(server, pool.bytes() / RESULTS);
+        let held = pool.clone();
         Core {
             engine: Engine::new(now, control, terms, Box::new(move |bytes| pool.hold(bytes))),
+            held,
             around: Around {
                 server,
                 agent,
@@ -361,11 +385,12 @@
         if self.around.queues.as_ref().is_some_and(|queues| !queues.could_take(&terms)) {
             return Err("there were too many queues since the start: start anew".into());
         }
-        let mut shares = vec![false; names.len()];
+        let (mut shares, mut tokened) = (vec![false; names.len()], vec![false; names.len()]);
         let mut methods = asterrill_consumer::Methods::new();
         for (name, place) in &of_methods {
             let at = server.methods.get(name).map_or(0, |id| id.0);
             shares[place.0] = server.shares.get(at).copied().unwrap_or(false);
+            tokened[place.0] = server.effects.get(at) == Some(&Effect::Tokened);
             methods.insert(name.clone(), (*place, server.effects[at]));
             self.around.service.target(place.0, server.targets[at]);
         }
@@ -376,10 +401,13 @@
         let tenants: Vec<Option<usize>> =
             tenants.into_iter().map(|(_, name)| before.get(name).copied()).collect();
         self.around.agent.target(server.targets.iter().max().copied().unwrap_or(0));
-        let terms_of = Terms { shares, fresh: server.fresh };
+        let results = self.held.bytes() / RESULTS;
+        let terms_of = Terms { shares, fresh: server.fresh, results, longest: server.longest };
         let targets = targets(&server);
         let (known_tenants, gauges) = (server.tenants, server.gauges);
-        let known = Names { methods: names, of_methods, slots, tenants: known_tenants, targets, gauges };
+        let tenants_now = known_tenants;
+        let known =
+            Names { methods: names, of_methods, slots, tenants: tenants_now, tokened, targets, gauges };
         self.with(now, wire, |engine, now, out| {
             out.around.counters.changes += 1;
             out.around.stamps = Stamps { module: number, names: number, queues: number };
@@ -508,6 +536,8 @@
         };
         // What the agent may never have heard of is not joined to anything, and nothing to it.
         let shares = self.around.sidecars.proven(place.conn);
+        let tokened = server.tokened.get(method.0).copied().unwrap_or(false);
+        let token = tokened.then(|| token(&ask.method, &ask.tenant, body));
         let at = self.engine.pass(now);
         let read = Read {
             id: ask.id,
@@ -519,6 +549,7 @@
             size_kb: ask.size_kb,
             key: ask.key,
             shares,
+            token,
         };
         self.around.service.read(method);
         let asker = Asker::Sidecar(place);
@@ -639,7 +670,7 @@
         if let Some(server) =
             fresh.filter(|_| self.engine.counts.rpcs == 0 && self.around.counters.changes == 0)
         {
-            let (control, terms, server) = parts(server);
+            let (control, terms, server) = parts(server, self.held.bytes() / RESULTS);
             self.around.server = server;
             self.with(now, wire, |engine, now, out| engine.restart(now, control, terms, out));
             if let Some(part) = self.around.part {
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -35,6 +35,10 @@
     gone,
     /// RPCs that waited for the answer of another.
     joined,
+    /// Results of tokened RPCs that had to go while a repeat might come, and new tokened RPCs that there was no room to
+    /// remember: these were pushed back.
+    results_dropped,
+    tokens_full,
     /// Health checks answered, thorough ones included.
     checks,
     thorough,
@@ -101,6 +105,6 @@
         }
         take!(rpcs no_buffer ok pushed_back aborted gone joined runs runs_ok runs_aborted runs_stopped);
         take!(runs_not_started calls calls_ok calls_pushed_back calls_aborted calls_timed_out skips wakes);
-        take!(wakes_blind stale late_replies);
+        take!(wakes_blind stale late_replies results_dropped tokens_full);
     }
 }
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -195,7 +195,10 @@
 
 impl World {
     fn new(seed: u64) -> World {
-        let made = asterrill_settings::server(START, seed, &server(), None).unwrap();
+        World::of(seed, &server())
+    }
+    fn of(seed: u64, settings: &Value) -> World {
+        let made = asterrill_settings::server(START, seed, settings, None).unwrap();
         let mut core = Core::new(START, made, Pool::new(500), 4);
         let mut out = Out::default();
         core.start(START, &mut out);
@@ -566,6 +569,43 @@
     assert_eq!(w.core.counted().stale, 1);
 }
 
+#[test]
+fn tries_of_one_tokened_rpc_are_known_by_method_tenant_and_body_whoever_brings_them() {
+    let mut settings = server();
+    let pay = json!({"Name": "pay", "AimMs": 400, "DeadlineMs": 900, "Effect": "guarded", "WindowMs": 700, "Worth": 3});
+    settings["Categories"].as_array_mut().unwrap().push(pay);
+    let mut w = World::of(3, &settings);
+    let try_of = |w: &mut World, conn: u64, method: &str, body: &[u8]| {
+        w.next += 1;
+        let (id, place) = (RpcId::of(w.next), Place { conn: ConnId(conn), stream: StreamId(w.next as u32) });
+        let (method, tenant, caller) = (method.to_string(), "acme".to_string(), CallerId(conn));
+        let (born, due, size_kb) = (w.now, Some(w.now + 800 * MS), 20.0 + conn as f64);
+        w.out.bodies.insert(id, body.to_vec());
+        let ask = Ask { id, method, tenant, caller, born, due, size_kb, key: None };
+        assert!(w.core.rpc_read(w.now, place, ask, body, &mut w.out));
+        place
+    };
+    // Of one sidecar, of another, and a while after the first has been answered.
+    let first = try_of(&mut w, 1, "pay", b"order 17");
+    let others = [try_of(&mut w, 1, "pay", b"order 17"), try_of(&mut w, 2, "pay", b"order 17")];
+    assert_eq!(w.out.runs.len(), 1, "one run for all tries");
+    w.play(1, false);
+    w.read_notices(1);
+    w.pass(300 * MS);
+    let late = try_of(&mut w, 3, "pay", b"order 17");
+    let made: BTreeSet<_> = others.iter().chain([&first, &late]).map(|p| w.out.answers[p].clone()).collect();
+    assert!(made.len() == 1 && made.first().is_some_and(|(what, _)| *what == "ok"), "{made:?}");
+    assert_eq!((w.out.runs.len(), w.core.counted().joined), (1, 3));
+    // Another body is another RPC, and so is the same one of a method that may run again.
+    try_of(&mut w, 1, "pay", b"order 18");
+    try_of(&mut w, 1, "look", b"order 17");
+    assert_eq!(w.out.runs.len(), 3);
+    // Once the window is over, it may be asked for anew.
+    w.pass(600 * MS);
+    try_of(&mut w, 1, "pay", b"order 17");
+    assert_eq!(w.out.runs.len(), 4);
+}
+
 #[test]
 fn reads_of_one_key_share_a_run_and_each_gets_its_own_answer() {
     let mut w = World::new(3);
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -3,6 +3,7 @@
 
 use crate::kept::Kept;
 use crate::outputs::{Counts, Outputs, RouteId, Served};
+use crate::tokens::{Token, Tokens};
 use asterrill::{
     Answer, Arrival, CallEnd, CallerId, Care, Control, Experience, Final, Gauges, MethodId, Outcome, RpcId,
     RunEnd, Standing, Us,
@@ -21,6 +22,10 @@
     pub shares: Vec<bool>,
     /// How long a read's result may serve others, in microseconds; 0 for never.
     pub fresh: Us,
+    /// Bytes of the results of tokened RPCs that are kept for their repeats.
+    pub results: usize,
+    /// The longest that any RPC may be open, in microseconds.
+    pub longest: Us,
 }
 
 /// Makes the copy of a body that is held; none while there is no room for it.
@@ -43,6 +48,8 @@
     pub key: Option<u64>,
     /// It may be joined to another of its key, and others to it.
     pub shares: bool,
+    /// Of a tokened RPC: by what its repeats are known.
+    pub token: Option<Token>,
 }
 
 /// The last thing that the executor of a run was told.
@@ -76,13 +83,15 @@
 enum Later {
     CallRefused(RpcId),
     JoinEnds(RpcId),
+    /// The RPC that it waited for never ran.
+    Again(RpcId),
 }
 
 struct Rpc<P, B> {
     place: P,
     prior: Option<RpcId>,
     owed: bool,
-    method: MethodId,
+    read: Read,
     stage: Stage,
     /// Of the RPC until it has been started, then of its call, then the reply to that.
     body: Option<B>,
@@ -99,7 +108,10 @@
     now: Us,
     open: BTreeMap<RpcId, Rpc<P, B>>,
     owed: BTreeMap<P, RpcId>,
+    /// Those that wait for another, by that one.
+    joined: BTreeSet<(RpcId, RpcId)>,
     kept: Kept<B>,
+    tokens: Tokens,
     wakes: BTreeSet<Us>,
     attended: bool, // gauges can be had
     sampled: bool,  // for the first of the wakes
@@ -108,12 +120,14 @@
     credit: Option<f64>,
     kill: Option<Us>,
     later: VecDeque<Later>,
+    settling: bool, // what came of an outcome is being told to the module
     pub counts: Counts,
 }
 
 impl<P: Copy + Ord, B: AsRef<[u8]>> Engine<P, B> {
     /// `hold` makes the copy of a body that is held, and hands back none while there is no room for it.
     pub fn new(now: Us, control: Control, terms: Terms, hold: Hold<B>) -> Engine<P, B> {
+        let tokens = Tokens::new(terms.results, terms.longest);
         Engine {
             control,
             terms,
@@ -121,7 +135,9 @@
             now,
             open: BTreeMap::new(),
             owed: BTreeMap::new(),
+            joined: BTreeSet::new(),
             kept: Kept::new(),
+            tokens,
             wakes: BTreeSet::new(),
             attended: false,
             sampled: false,
@@ -130,6 +146,7 @@
             credit: None,
             kill: None,
             later: VecDeque::new(),
+            settling: false,
             counts: Counts::default(),
         }
     }
@@ -143,7 +160,8 @@
 
     /// The same for a module made anew, before any RPC was read.
     pub fn restart(&mut self, now: Us, control: Control, terms: Terms, out: &mut dyn Outputs<P>) {
-        (self.control, self.terms) = (control, terms);
+        self.take_terms(terms);
+        self.control = control;
         self.wakes.clear();
         self.start(now, out);
     }
@@ -155,11 +173,15 @@
         out: &mut dyn Outputs<P>,
     ) {
         self.pass(now);
-        self.terms = terms;
+        self.take_terms(terms);
         self.kept.forget_ended();
         let outcome = self.control.change(self.now, control, methods, tenants);
         self.carry(outcome, out);
     }
+    fn take_terms(&mut self, terms: Terms) {
+        self.tokens.bounds(terms.results, terms.longest);
+        self.terms = terms;
+    }
     /// What serving an RPC of a method takes, as learned so far, in microseconds.
     pub fn cost(&self, method: MethodId) -> f64 {
         self.control.cost(method)
@@ -210,41 +232,60 @@
     /// An RPC came whole. False if its id is that of an open one: nothing was taken then.
     pub fn rpc_read(&mut self, now: Us, place: P, read: Read, body: &[u8], out: &mut dyn Outputs<P>) -> bool {
         self.pass(now);
-        let (id, method) = (read.id, read.method);
+        let (id, since) = (read.id, self.now.saturating_sub(read.unread));
         if self.open.contains_key(&id) || self.owed.contains_key(&place) {
             return false;
         }
+        let known = read.token.is_none_or(|token| self.tokens.prior(token, since).is_some());
+        if !known && self.tokens.full() {
+            self.counts.tokens_full += 1;
+            self.turn_away(now, place, out);
+            return true;
+        }
         let Some(body) = (self.hold)(body) else {
             self.counts.no_buffer += 1;
             self.refuse(now, place, out);
             return true;
         };
         self.counts.rpcs += 1;
+        let (stage, body) = (Stage::Held, Some(body));
+        let rpc =
+            Rpc { place, prior: None, owed: true, read, stage, body, route: None, since, spoilt: false };
+        self.open.insert(id, rpc);
+        self.owed.insert(place, id);
+        self.offer(id, out);
+        true
+    }
+
+    /// Tells the module of an RPC that has come, and of the one that it repeats.
+    fn offer(&mut self, id: RpcId, out: &mut dyn Outputs<P>) {
+        let Some(rpc) = self.open.get_mut(&id) else { return };
+        let read = &rpc.read;
         let shares = read.shares && self.terms.fresh > 0;
-        let shares = shares && self.terms.shares.get(method.0).copied().unwrap_or(false);
-        let key = read.key.filter(|_| shares).map(|key| (method, key));
-        let prior = key.and_then(|key| self.kept.prior(key, self.now));
-        if let Some(key) = key.filter(|_| prior.is_none()) {
+        let shares = shares && self.terms.shares.get(read.method.0).copied().unwrap_or(false);
+        let key = read.key.filter(|_| shares).map(|key| (read.method, key));
+        let prior = match (read.token, key) {
+            (Some(token), _) => self.tokens.prior(token, rpc.since),
+            (None, Some(key)) => self.kept.prior(key, self.now),
+            (None, None) => None,
+        };
+        if let (Some(key), None, None) = (key, prior, read.token) {
             self.kept.offer(key, id);
         }
-        let (stage, body, since) = (Stage::Held, Some(body), self.now.saturating_sub(read.unread));
-        let rpc = Rpc { place, prior, owed: true, method, stage, body, route: None, since, spoilt: false };
-        self.open.insert(id, rpc);
-        self.owed.insert(place, id);
+        rpc.prior = prior;
         let arrival = Arrival {
             id,
-            method,
+            method: read.method,
             caller: read.caller,
             due: read.due,
             size_kb: read.size_kb,
-            unread: read.unread,
+            unread: self.now.saturating_sub(rpc.since),
             repeat: false,
             prior,
             key: read.key,
         };
         let outcome = self.control.rpc_read(self.now, arrival, read.tenant);
         self.carry(outcome, out);
-        true
     }
 
     /// An RPC came that could never be run here: it is aborted at once.
@@ -300,7 +341,7 @@
         let rpc = self.open.get(&id)?;
         let body = rpc.body.as_ref().map_or(&[][..], B::as_ref);
         match rpc.stage {
-            Stage::Running(Sent::Launch) => Some(Command::Launch(rpc.method, body)),
+            Stage::Running(Sent::Launch) => Some(Command::Launch(rpc.read.method, body)),
             Stage::Running(Sent::Resume) => Some(Command::Resume(body)),
             Stage::Running(Sent::Skip) => Some(Command::Skip),
             _ => None,
@@ -339,6 +380,7 @@
         self.close(id, out);
         let (hold, until) = (&self.hold, self.now + self.terms.fresh);
         self.kept.ended(id, until, || Some(result).filter(|_| ok).and_then(hold));
+        self.counts.results_dropped += self.tokens.ended(id, Some(result).filter(|_| ok));
         let outcome = self.control.run_ended(self.now, id, end);
         self.carry(outcome, out);
         for next in self.joined_to(id) {
@@ -356,19 +398,15 @@
 
     /// The one place where an RPC leaves the table.
     fn close(&mut self, id: RpcId, out: &mut dyn Outputs<P>) {
-        if self.open.remove(&id).is_some() {
+        if let Some(rpc) = self.open.remove(&id) {
+            self.joined.remove(&(rpc.prior.unwrap_or(id), id));
             out.over(id);
         }
     }
 
-    /// The RPCs that wait for this one; only one that is kept has any.
+    /// The RPCs that wait for this one.
     fn joined_to(&self, id: RpcId) -> Vec<RpcId> {
-        let joined = self.open.iter().filter(|(_, r)| r.prior == Some(id) && r.stage == Stage::Joined(id));
-        if self.terms.fresh > 0 {
-            joined.map(|(next, _)| *next).collect()
-        } else {
-            Vec::new()
-        }
+        self.joined.range((id, RpcId::LEAST)..=(id, RpcId::MOST)).map(|(_, next)| *next).collect()
     }
 
     /// A joined RPC gets its own answer, with the result of the run that it waited for.
@@ -485,6 +523,7 @@
             }
         }
         self.kept.forget_until(self.now);
+        self.tokens.forget_until(self.now);
         let Some(wake) = self.wakes.first().copied() else { return };
         if self.attended && !self.sampled && wake <= self.now + LEAD {
             self.sampled = true;
@@ -510,7 +549,7 @@
             Final::Aborted => self.counts.aborted += 1,
         }
         let took = self.now.saturating_sub(rpc.since);
-        let of = Served { method: rpc.method, took, spoilt: rpc.spoilt };
+        let of = Served { method: rpc.read.method, took, spoilt: rpc.spoilt };
         out.answer(rpc.place, answer, self.credit, Some(of));
         self.owed.remove(&rpc.place);
         self.settle(id, out);
@@ -524,8 +563,9 @@
             Stage::Held => {
                 self.close(id, out);
                 self.kept.forget(id);
+                self.tokens.forget(id);
                 let joined = self.joined_to(id);
-                self.later.extend(joined.into_iter().map(Later::JoinEnds));
+                self.later.extend(joined.into_iter().map(Later::Again));
             }
             Stage::Joined(_) => self.close(id, out),
             Stage::Calling(route, until) => {
@@ -554,9 +594,13 @@
         }
         for (id, span) in outcome.keeps {
             self.kept.keep_until(id, self.now + span);
+            if let Some(token) = self.open.get(&id).and_then(|rpc| rpc.read.token) {
+                self.tokens.record(token, id, self.now + span);
+            }
         }
         for id in outcome.forgets {
             self.kept.forget(id);
+            self.tokens.forget(id);
         }
         for id in outcome.joins {
             self.join(id);
@@ -565,7 +609,7 @@
             let Some(rpc) = self.open.get_mut(&id) else { continue };
             rpc.stage = Stage::Running(Sent::Launch);
             self.counts.runs += 1;
-            out.launch(rpc.place, id, rpc.method, rpc.body.as_ref().map_or(&[][..], B::as_ref));
+            out.launch(rpc.place, id, rpc.read.method, rpc.body.as_ref().map_or(&[][..], B::as_ref));
         }
         for (id, wait) in outcome.calls {
             self.call(id, wait, out);
@@ -592,6 +636,9 @@
             out.log(&line);
         }
         // What came of it at once is told to the module only now, so that nothing older overtakes it.
+        if std::mem::replace(&mut self.settling, true) {
+            return;
+        }
         while let Some(later) = self.later.pop_front() {
             match later {
                 Later::CallRefused(id) => {
@@ -601,12 +648,27 @@
                 }
                 Later::JoinEnds(id) => {
                     let prior = self.open.get(&id).and_then(|r| r.prior);
-                    let kept = prior.and_then(|prior| self.kept.result(prior));
-                    let copy = kept.and_then(|result| (self.hold)(result.as_ref()));
+                    let kept = prior.and_then(|prior| self.kept.result(prior)).map(B::as_ref);
+                    let kept = kept.or_else(|| prior.and_then(|prior| self.tokens.result(prior)));
+                    let copy = kept.and_then(|result| (self.hold)(result));
                     self.end_join(id, copy.as_ref().map(B::as_ref), out);
                 }
+                Later::Again(id) => self.again(id, out),
             }
         }
+        self.settling = false;
+    }
+
+    /// What a joined RPC waited for never ran: it is taken as if it came now, and others may wait for it.
+    fn again(&mut self, id: RpcId, out: &mut dyn Outputs<P>) {
+        let Some(rpc) = self.open.get_mut(&id).filter(|rpc| matches!(rpc.stage, Stage::Joined(_))) else {
+            return;
+        };
+        rpc.stage = Stage::Held;
+        self.joined.remove(&(rpc.prior.unwrap_or(id), id));
+        let outcome = self.control.run_ended(self.now, id, RunEnd::NotStarted);
+        self.carry(outcome, out);
+        self.offer(id, out);
     }
 
     /// Joins an RPC to the one it repeats, which is open or ended a short while ago.
@@ -616,6 +678,7 @@
         if !self.open.contains_key(&prior) {
             self.later.push_back(Later::JoinEnds(id));
         }
+        self.joined.insert((prior, id));
         self.open.entry(id).and_modify(|r| r.stage = Stage::Joined(prior));
     }
 
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -31,7 +31,7 @@
 //! #     skip_share: 0.0 }], Accounts::new(400_000, 1), Target::new(0, 1, 8.0, 1.0, 1),
 //! #     Calls::new(Below::Nothing, 1, 0, 400_000), Keys::new(0.0, 0), Memory::new(9e9, 1.0), Drain::new(0),
 //! #     Credit::new(Say::Off, 0, 400_000, 0), Shares::new(&[], 1, 1.0));
-//! let terms = Terms { shares: vec![true], fresh: 0 };
+//! let terms = Terms { shares: vec![true], fresh: 0, results: 0, longest: 900_000 };
 //! let engine: Engine<u64, Vec<u8>> = Engine::new(0, control, terms, Box::new(|bytes| Some(bytes.to_vec())));
 //! assert_eq!((engine.open(), engine.owed()), (0, 0));
 //! ```
@@ -41,6 +41,8 @@
 mod outputs;
 #[cfg(test)]
 mod tests;
+mod tokens;
 
 pub use engine::{Command, Engine, Hold, Read, Terms};
 pub use outputs::{Counts, Outputs, RouteId, Served};
+pub use tokens::Token;
--- a/engine/src/outputs.rs
+++ b/engine/src/outputs.rs
@@ -61,8 +61,11 @@
     pub pushed_back: u64,
     pub aborted: u64,
     pub gone: u64,
-    /// RPCs that waited for the answer of another.
+    /// RPCs that waited for the answer of another, results that had to go before their time, and new tokened RPCs that
+    /// there was no room to remember.
     pub joined: u64,
+    pub results_dropped: u64,
+    pub tokens_full: u64,
     /// Runs started, and how they ended.
     pub runs: u64,
     pub runs_ok: u64,
--- a/engine/src/tests.rs
+++ b/engine/src/tests.rs
@@ -1,12 +1,14 @@
 //! The engine with a front and an executor in the same process, as a library embeds it: numbers for places, and
 //! runs that end when the test says so.
 
-use crate::{Command, Engine, Outputs, Read, RouteId, Served, Terms};
+use crate::{Command, Engine, Outputs, Read, RouteId, Served, Terms, Token};
 use asterrill::*;
 use quickcheck::{Gen, QuickCheck};
 use std::collections::{BTreeMap, BTreeSet};
 
 const MS: Us = 1_000;
+const WINDOW: Us = 700 * MS; // of the tokened method
+const TOKENED: usize = 2;
 
 fn control(below: Below) -> Control {
     let method = |effect, criticality, skip_share| Method {
@@ -15,10 +17,14 @@
         effect,
         criticality,
         late_share: 0.0,
-        window: 0,
+        window: WINDOW,
         skip_share,
     };
-    let methods = vec![method(Effect::Idempotent, 1.0, 0.5), method(Effect::NonIdempotent, 3.0, 0.0)];
+    let methods = vec![
+        method(Effect::Idempotent, 1.0, 0.5),
+        method(Effect::NonIdempotent, 3.0, 0.0),
+        method(Effect::Tokened, 2.0, 0.0),
+    ];
     Control::new(
         0,
         7,
@@ -46,7 +52,18 @@
     over: BTreeSet<RpcId>,
     calls: BTreeMap<RpcId, RouteId>,
     faults: Vec<String>,
-    deaf: bool, // calls can't be sent
+    deaf: bool,                          // calls can't be sent
+    tries: BTreeMap<RpcId, (Token, Us)>, // of tokened RPCs, with their arrivals
+    ran: BTreeMap<Token, (RpcId, Us)>,   // the try that ran last, and its arrival
+}
+
+impl Ledger {
+    /// The run of another try of the same RPC.
+    fn of_a_try(&self, to: u64, result: &[u8]) -> bool {
+        let of = |id: &RpcId| self.tries.get(id).map(|(token, _)| *token);
+        let token = self.asked.get(&to).and_then(of);
+        token.is_some() && self.launched.iter().any(|id| of(id) == token && id.as_str().as_bytes() == result)
+    }
 }
 
 impl Outputs<u64> for Ledger {
@@ -57,7 +74,7 @@
         let what = match answer {
             Final::Ok(result) => {
                 let made = self.asked.get(&to).is_some_and(|id| id.as_str().as_bytes() == result);
-                if !made {
+                if !made && !self.of_a_try(to, result) {
                     self.faults.push(format!("{to}: a result of another run"));
                 }
                 "ok"
@@ -66,7 +83,15 @@
                 self.faults.push(format!("{to}: pushed back though it ran"));
                 "pushed back"
             }
-            Final::PushedBack { .. } => "pushed back",
+            Final::PushedBack { .. } => {
+                let of = self.asked.get(&to).and_then(|id| self.tries.get(id));
+                let ran =
+                    of.and_then(|(token, at)| self.ran.get(token).filter(|(_, ran)| *at < ran + WINDOW));
+                if ran.is_some() {
+                    self.faults.push(format!("{to}: pushed back though a try of it ran"));
+                }
+                "pushed back"
+            }
             Final::Aborted => "aborted",
         };
         if self.answers.insert(to, what).is_some() {
@@ -82,6 +107,11 @@
         if !self.launched.insert(id) || self.over.contains(&id) {
             self.faults.push(format!("{id:?}: launched twice, or after its end"));
         }
+        if let Some((token, at)) = self.tries.get(&id).copied() {
+            if self.ran.insert(token, (id, at)).is_some_and(|(_, ran)| at < ran + WINDOW) {
+                self.faults.push(format!("{id:?}: run again within the window"));
+            }
+        }
         self.runs.insert(id);
     }
     fn stop(&mut self, _: RpcId) {}
@@ -120,26 +150,33 @@
 
 impl World {
     fn new(below: Below) -> World {
-        let terms = Terms { shares: vec![true, false], fresh: 0 };
+        let terms = Terms { shares: vec![true, false, false], fresh: 0, results: 64, longest: 900 * MS };
         let mut engine = Engine::new(0, control(below), terms, Box::new(|bytes| Some(bytes.to_vec())));
         let mut ledger = Ledger::default();
         engine.start(0, &mut ledger);
         World { engine, ledger, now: 0, due: BTreeMap::new() }
     }
     fn ask(&mut self, method: usize, patience: Us) -> u64 {
+        self.ask_again(method, patience, None, 0)
+    }
+    /// A try of the RPC with this token, which lay unread for so long.
+    fn ask_again(&mut self, method: usize, patience: Us, token: Option<u8>, unread: Us) -> u64 {
+        let token = token.map(|n| Token([n; 16]));
         let place = self.ledger.asked.len() as u64 + 1;
         let id = RpcId::new(&format!("{place:x}")).unwrap();
         self.ledger.asked.insert(place, id);
+        self.ledger.tries.extend(token.map(|token| (id, (token, self.now - unread))));
         let read = Read {
             id,
             method: MethodId(method),
             tenant: None,
             caller: CallerId(place % 3),
             due: Some(self.now + patience),
-            unread: 0,
+            unread,
             size_kb: 10.0,
             key: None,
             shares: false,
+            token,
         };
         self.due.insert(place, self.now + patience);
         assert!(self.engine.rpc_read(self.now, place, read, b"body", &mut self.ledger));
@@ -170,7 +207,11 @@
     }
     fn step(&mut self, what: u8, n: usize) {
         match what % 8 {
-            0..=2 => drop(self.ask(n % 2, [60, 400, 900][n % 3] * MS)),
+            0 | 1 => drop(self.ask(n % 2, [60, 400, 900][n % 3] * MS)),
+            2 => {
+                let unread = self.now.min(n as Us % 9 * MS);
+                drop(self.ask_again(TOKENED, [60, 400, 900][n % 3] * MS, Some((n / 3 % 5) as u8), unread))
+            }
             3 => self.end(n, [RunEnd::Ok, RunEnd::Ok, RunEnd::Aborted][n % 3]),
             4 => {
                 if let Some(id) = self.nth_run(n) {
@@ -210,6 +251,159 @@
     runs.quickcheck(holds as fn(Vec<(u8, u16)>) -> bool);
 }
 
+/// What a repeat finds of the try before it.
+#[derive(Clone, Copy, Debug)]
+enum Before {
+    Held,
+    Running,
+    Ended(RunEnd),
+}
+
+#[test]
+fn a_repeat_of_a_tokened_rpc_shares_its_one_run_wherever_that_stands() {
+    for (before, answer) in [
+        (Before::Held, "ok"),
+        (Before::Running, "ok"),
+        (Before::Ended(RunEnd::Ok), "ok"),
+        (Before::Ended(RunEnd::Aborted), "aborted"),
+        (Before::Ended(RunEnd::Stopped), "aborted"),
+    ] {
+        let mut w = World::new(Below::Nothing);
+        if let Before::Held = before {
+            (0..4).for_each(|_| drop(w.ask(1, 900 * MS))); // nothing more starts beside these
+        }
+        let first = w.ask_again(TOKENED, 900 * MS, Some(7), 0);
+        let id = w.ledger.asked[&first];
+        assert_eq!(w.ledger.launched.contains(&id), !matches!(before, Before::Held));
+        if let Before::Ended(end) = before {
+            w.ledger.runs.remove(&id);
+            w.engine.run_ended(w.now, id, end, id.as_str().as_bytes(), &mut w.ledger);
+        }
+        // Two in one batch, and one that lay unread.
+        let again = [0, 0, 20 * MS].map(|unread| {
+            w.pass(if unread > 0 { 30 * MS } else { 0 });
+            w.ask_again(TOKENED, 800 * MS, Some(7), unread)
+        });
+        while let Some(id) = w.ledger.runs.pop_first() {
+            w.engine.run_ended(w.now, id, RunEnd::Ok, id.as_str().as_bytes(), &mut w.ledger);
+        }
+        w.check();
+        assert!(
+            again.iter().all(|place| w.ledger.answers[place] == answer),
+            "{before:?}: {:?}",
+            w.ledger.answers
+        );
+    }
+}
+
+#[test]
+fn the_window_of_a_tokened_rpc_is_reckoned_from_the_arrival_of_the_try_that_ran() {
+    let mut w = World::new(Below::Nothing);
+    w.pass(100 * MS);
+    let first = w.ask_again(TOKENED, 900 * MS, Some(1), 40 * MS); // it arrived at 60 ms
+    w.end(0, RunEnd::Ok);
+    w.pass(60 * MS + WINDOW - w.now - MS);
+    let inside = w.ask_again(TOKENED, 900 * MS, Some(1), 0);
+    // One that arrived in time is read long after, when the window is over.
+    w.pass(500 * MS);
+    let read_late = w.ask_again(TOKENED, 900 * MS, Some(1), 501 * MS);
+    assert_eq!(w.ledger.launched.len(), 1);
+    assert!([first, inside, read_late].iter().all(|place| w.ledger.answers[place] == "ok"));
+    // One that came after it is another RPC, and knowing the old one is over at last.
+    w.ask_again(TOKENED, 900 * MS, Some(1), 0);
+    assert_eq!(w.ledger.launched.len(), 2);
+    w.end(0, RunEnd::Ok);
+    w.check();
+    // Other tokens are other RPCs, of the same moment too.
+    w.ask_again(TOKENED, 900 * MS, Some(2), 0);
+    w.ask_again(TOKENED, 900 * MS, Some(3), 0);
+    assert_eq!(w.ledger.launched.len(), 4);
+}
+
+#[test]
+fn a_repeat_of_a_try_that_never_ran_takes_its_place_and_hundreds_of_them_do_so_one_by_one() {
+    let mut w = World::new(Below::Nothing);
+    (0..2).for_each(|_| drop(w.ask(1, 900 * MS))); // nothing more starts beside these
+    let tries: Vec<u64> = (0..200).map(|_| w.ask_again(TOKENED, 900 * MS, Some(4), 0)).collect();
+    // The caller of each leaves in turn; what was waited for is another's then.
+    for place in &tries[..199] {
+        w.due.remove(place);
+        assert!(w.engine.gone(w.now, *place, &mut w.ledger), "{place} {:?}", w.ledger.answers);
+    }
+    while let Some(id) = w.ledger.runs.pop_first() {
+        w.engine.run_ended(w.now, id, RunEnd::Ok, id.as_str().as_bytes(), &mut w.ledger);
+    }
+    assert_eq!(w.ledger.answers.get(&tries[199]), Some(&"ok"), "{:?}", w.ledger.answers);
+    assert_eq!((w.engine.open(), w.engine.owed()), (0, 0));
+    // All that wait when the first falls due in the hold are decided upon at once, without a chain of calls.
+    (0..2).for_each(|_| drop(w.ask(1, 900 * MS))); // nothing more starts beside these
+    let held = w.ask_again(TOKENED, 200 * MS, Some(5), 0);
+    let others: Vec<u64> = (0..200).map(|_| w.ask_again(TOKENED, 200 * MS, Some(5), 0)).collect();
+    w.pass(250 * MS);
+    assert!(others.iter().chain([&held]).all(|place| w.ledger.answers.contains_key(place)));
+    w.pass(800 * MS);
+    w.check();
+}
+
+#[test]
+fn a_result_that_had_to_go_leaves_its_token_known() {
+    let mut w = World::new(Below::Nothing);
+    let mut places = Vec::new();
+    for token in 0..100 {
+        // Ids have one or two digits, and there is room for 64 bytes of results.
+        places.push(w.ask_again(TOKENED, 900 * MS, Some(token), 0));
+        w.end(0, RunEnd::Ok);
+    }
+    assert!(w.engine.counts.results_dropped > 0);
+    let (old, new) =
+        (w.ask_again(TOKENED, 900 * MS, Some(0), 0), w.ask_again(TOKENED, 900 * MS, Some(99), 0));
+    assert_eq!((w.ledger.answers[&old], w.ledger.answers[&new]), ("aborted", "ok"));
+    assert_eq!(w.ledger.launched.len(), 100);
+    w.check();
+}
+
+#[test]
+fn where_no_more_tokens_can_be_known_new_ones_are_pushed_back_and_repeats_are_not() {
+    let mut w = World::new(Below::Nothing);
+    let token = |n: u32| {
+        Some(Token(
+            [[0; 12], [0; 12]].concat()[..12]
+                .iter()
+                .copied()
+                .chain(n.to_be_bytes())
+                .collect::<Vec<u8>>()
+                .try_into()
+                .unwrap(),
+        ))
+    };
+    let read = |n: u32| Read {
+        id: RpcId::of(n.into()),
+        method: MethodId(TOKENED),
+        tenant: None,
+        caller: CallerId(n.into()),
+        due: None,
+        unread: 0,
+        size_kb: 0.01,
+        key: None,
+        shares: false,
+        token: token(n),
+    };
+    let mut n = 0;
+    while w.engine.counts.tokens_full == 0 {
+        assert!(n < 20_000, "no bound");
+        w.engine.rpc_read(w.now, n.into(), read(n), b"", &mut w.ledger);
+        w.engine.run_ended(w.now, RpcId::of(n.into()), RunEnd::Ok, b"", &mut w.ledger);
+        n += 1;
+    }
+    assert_eq!(w.ledger.answers[&u64::from(n - 1)], "pushed back");
+    let again = Read { id: RpcId::of(1 << 40), ..read(7) };
+    w.engine.rpc_read(w.now, 1 << 40, again, b"", &mut w.ledger);
+    assert_eq!(w.ledger.answers[&(1 << 40)], "ok", "known all the time");
+    w.pass(2 * WINDOW + 900 * MS);
+    w.engine.rpc_read(w.now, u64::from(n), read(n), b"", &mut w.ledger);
+    assert!(w.ledger.launched.contains(&RpcId::of(n.into())), "room again once the windows are over");
+}
+
 #[test]
 fn the_last_command_can_be_said_again_until_the_run_is_over() {
     let mut w = World::new(Below::Tier);
@@ -242,6 +436,7 @@
         size_kb: 1.0,
         key: None,
         shares: false,
+        token: None,
     };
     assert!(!w.engine.rpc_read(0, 77, read(id, 1), b"", &mut w.ledger));
     let other = RpcId::new("other").unwrap();
--- a/net/src/pool.rs
+++ b/net/src/pool.rs
@@ -54,6 +54,10 @@
     pub fn resize(&self, most: usize) {
         self.shelf().most = most;
     }
+    /// Bytes of all buffers that there may be.
+    pub fn bytes(&self) -> usize {
+        self.shelf().most * SIZE
+    }
     /// Buffers out now, and the most there ever were.
     pub fn used(&self) -> (usize, usize) {
         let shelf = self.shelf();
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -115,6 +115,8 @@
     pub effects: Vec<Effect>,
     /// Of each method, in order, in microseconds.
     pub targets: Vec<Us>,
+    /// The longest deadline of any method.
+    pub longest: Us,
     pub cores: f64,
     /// The number published is what each caller may have outstanding.
     pub credit: bool,
@@ -180,6 +182,7 @@
     let gauges = list(family, "Gauges").iter().filter_map(Value::as_str).map(str::to_string).collect();
     let effects: Vec<Effect> = methods.iter().map(|m| m.effect).collect();
     let targets = methods.iter().map(|m| m.latency_target).collect();
+    let longest = methods.iter().map(|m| m.deadline).max().unwrap_or(0);
     let shares = effects.iter().map(|effect| *effect == Effect::Idempotent).collect();
     let control = Control::new(
         now,
@@ -203,6 +206,7 @@
         tenants,
         effects,
         targets,
+        longest,
         cores,
         credit,
         gauges,
--- a/src/types.rs
+++ b/src/types.rs
@@ -17,6 +17,10 @@
         Some(RpcId(bytes))
     }
 
+    /// Before all others, and after them.
+    pub const LEAST: RpcId = RpcId([0; 36]);
+    pub const MOST: RpcId = RpcId([0xff; 36]);
+
     /// The name of 16 hex digits that stands for a number.
     pub fn of(number: u64) -> RpcId {
         let mut bytes = [0; 36];
