A notice to leave before the agent's greeting is kept when the module is made anew

Read, then seen in a test: the agent's greeting makes the module anew (Engine::restart) while no RPC was read; a SIGTERM before it was told to the module that is thrown away. The new one never told callers to leave and ran what came after the grace, which breaks the rule on drains. At fault: Engine::restart in engine/src/engine.rs. Now the engine remembers when the notice came and tells it again, with that moment: the agent may have started later. The new test fails on the code before: 'callers are told to leave once the grace is over'.

--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -855,6 +855,35 @@
     assert!(w.core.left());
 }
 
+#[test]
+fn a_notice_to_leave_before_the_agent_greets_counts_from_when_it_came() {
+    for greets in [50, 250] {
+        let made = |at| asterrill_settings::server(at, 1, &server(), Some(true)).unwrap();
+        let (mut core, mut out) = (Core::new(START, made(START), Pool::new(500), 4), Out::default());
+        core.start(START, &mut out);
+        core.drain(START, 1_000 * MS, &mut out);
+        let up = START + greets * MS;
+        core.agent_link(up);
+        // The agent started before the notice, or after it.
+        core.agent_up(up, Some(made(up - 100 * MS)), &mut out);
+        assert!(!out.serving.contains(&true), "it never says that it takes work: {:?}", out.serving);
+        let mut w =
+            World { core, out, now: up, asks: BTreeMap::new(), read: 0, next: 0, killed: None, version: 1 };
+        w.ask(1, "book", 900 * MS, None);
+        assert_eq!(w.out.runs.len(), 1, "within the grace it is run");
+        w.pass(START + 420 * MS - w.now);
+        assert!(w.out.left, "callers are told to leave once the grace is over");
+        let late = w.ask(2, "book", 900 * MS, None);
+        assert_eq!(
+            (w.out.runs.len(), w.out.answers[&late].0),
+            (1, "pushed back"),
+            "after the grace nothing is run"
+        );
+        w.pass(1_000 * MS);
+        assert!(w.core.left() && w.core.owed() == 0);
+    }
+}
+
 #[test]
 fn an_rpc_of_a_method_that_is_removed_still_gets_its_answer_and_new_ones_are_aborted() {
     let mut w = World::new(31);
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -74,7 +74,7 @@
             };
             control.call_ended(now, id(item, "Id")?, end)
         }
-        "TerminateSoon" => control.drain(now, time(item, "NotAfterMs")?),
+        "TerminateSoon" => control.drain(now, now, time(item, "NotAfterMs")?),
         "TimeoutFired" => control.woken(now, gauges(item)),
         other => return Err(Fault::new(format!("kind {other} is not known"))),
     })
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -118,7 +118,8 @@
     gauges: Option<(Us, Gauges)>,
     calls: BTreeSet<(Us, RpcId)>,
     credit: Option<f64>,
-    kill: Option<Us>,
+    /// When the notice to leave came, and by when all is to be answered.
+    leaves: Option<(Us, Us)>,
     later: VecDeque<Later>,
     settling: bool, // what came of an outcome is being told to the module
     pub counts: Counts,
@@ -144,7 +145,7 @@
             gauges: None,
             calls: BTreeSet::new(),
             credit: None,
-            kill: None,
+            leaves: None,
             later: VecDeque::new(),
             settling: false,
             counts: Counts::default(),
@@ -164,6 +165,10 @@
         self.control = control;
         self.wakes.clear();
         self.start(now, out);
+        if let Some((noticed, kill)) = self.leaves {
+            let outcome = self.control.drain(self.now, noticed, kill);
+            self.carry(outcome, out);
+        }
     }
 
     /// Other settings from now on, all at once: see [`Control::change`]. What is kept of reads serves nobody under
@@ -485,22 +490,22 @@
     /// The notice to leave: all is to be answered by `kill`. A second one changes nothing.
     pub fn drain(&mut self, now: Us, kill: Us, out: &mut dyn Outputs<P>) {
         self.pass(now);
-        if self.kill.is_some() {
+        if self.leaves.is_some() {
             return;
         }
-        self.kill = Some(kill);
-        let outcome = self.control.drain(self.now, kill);
+        self.leaves = Some((self.now, kill));
+        let outcome = self.control.drain(self.now, self.now, kill);
         self.carry(outcome, out);
     }
 
     /// There was a notice to leave.
     pub fn draining(&self) -> bool {
-        self.kill.is_some()
+        self.leaves.is_some()
     }
 
     /// The notice to leave has run out, and nothing is owed any more.
     pub fn left(&self) -> bool {
-        self.kill.is_some_and(|kill| self.now >= kill) && self.owed.is_empty()
+        self.leaves.is_some_and(|(_, kill)| self.now >= kill) && self.owed.is_empty()
     }
 
     /// When `tick` is wanted next.
@@ -508,7 +513,8 @@
         let lead = if self.sampled || !self.attended { 0 } else { LEAD };
         let wake = self.wakes.first().map(|at| at.saturating_sub(lead));
         let call = self.calls.first().map(|(at, _)| *at);
-        [wake, call, self.kill.filter(|kill| *kill > self.now)].into_iter().flatten().min()
+        let kill = self.leaves.map(|(_, kill)| kill).filter(|kill| *kill > self.now);
+        [wake, call, kill].into_iter().flatten().min()
     }
 
     /// Time has passed.
--- a/engine/src/tests.rs
+++ b/engine/src/tests.rs
@@ -207,10 +207,10 @@
     }
     fn step(&mut self, what: u8, n: usize) {
         match what % 8 {
-            0 | 1 => drop(self.ask(n % 2, [60, 400, 900][n % 3] * MS)),
+            0 | 1 => _ = self.ask(n % 2, [60, 400, 900][n % 3] * MS),
             2 => {
                 let unread = self.now.min(n as Us % 9 * MS);
-                drop(self.ask_again(TOKENED, [60, 400, 900][n % 3] * MS, Some((n / 3 % 5) as u8), unread))
+                self.ask_again(TOKENED, [60, 400, 900][n % 3] * MS, Some((n / 3 % 5) as u8), unread);
             }
             3 => self.end(n, [RunEnd::Ok, RunEnd::Ok, RunEnd::Aborted][n % 3]),
             4 => {
@@ -270,7 +270,7 @@
     ] {
         let mut w = World::new(Below::Nothing);
         if let Before::Held = before {
-            (0..4).for_each(|_| drop(w.ask(1, 900 * MS))); // nothing more starts beside these
+            (0..4).for_each(|_| _ = w.ask(1, 900 * MS)); // nothing more starts beside these
         }
         let first = w.ask_again(TOKENED, 900 * MS, Some(7), 0);
         let id = w.ledger.asked[&first];
@@ -323,7 +323,7 @@
 #[test]
 fn a_repeat_of_a_try_that_never_ran_takes_its_place_and_hundreds_of_them_do_so_one_by_one() {
     let mut w = World::new(Below::Nothing);
-    (0..2).for_each(|_| drop(w.ask(1, 900 * MS))); // nothing more starts beside these
+    (0..2).for_each(|_| _ = w.ask(1, 900 * MS)); // nothing more starts beside these
     let tries: Vec<u64> = (0..200).map(|_| w.ask_again(TOKENED, 900 * MS, Some(4), 0)).collect();
     // The caller of each leaves in turn; what was waited for is another's then.
     for place in &tries[..199] {
@@ -336,7 +336,7 @@
     assert_eq!(w.ledger.answers.get(&tries[199]), Some(&"ok"), "{:?}", w.ledger.answers);
     assert_eq!((w.engine.open(), w.engine.owed()), (0, 0));
     // All that wait when the first falls due in the hold are decided upon at once, without a chain of calls.
-    (0..2).for_each(|_| drop(w.ask(1, 900 * MS))); // nothing more starts beside these
+    (0..2).for_each(|_| _ = w.ask(1, 900 * MS)); // nothing more starts beside these
     let held = w.ask_again(TOKENED, 200 * MS, Some(5), 0);
     let others: Vec<u64> = (0..200).map(|_| w.ask_again(TOKENED, 200 * MS, Some(5), 0)).collect();
     w.pass(250 * MS);
--- a/src/control.rs
+++ b/src/control.rs
@@ -540,11 +540,11 @@
         })
     }
 
-    /// The notice to leave: the process is stopped at `kill`.
-    pub fn drain(&mut self, now: Us, kill: Us) -> Outcome {
+    /// The notice to leave came at `noticed`: the process is stopped at `kill`.
+    pub fn drain(&mut self, now: Us, noticed: Us, kill: Us) -> Outcome {
         self.after(now, |c| {
             let last = kill.saturating_sub(2 * c.step);
-            (c.drain.ends, c.drain.last) = (c.now + c.drain.grace, last);
+            (c.drain.ends, c.drain.last) = (noticed + c.drain.grace, last);
             for (id, r) in c.rpcs.iter_mut().filter(|(_, r)| !r.answered) {
                 c.alarms.remove(&(r.alarm, *id));
                 (r.due, r.last_good, r.alarm) = (r.due.min(last), r.last_good.min(last), r.alarm.min(last));
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -409,7 +409,7 @@
             13 if self.drain.is_none() && n.is_multiple_of(10) => {
                 let kill = self.now + [600, 3_000][n / 10 % 2] * MS;
                 self.drain = Some((self.now, kill));
-                let out = self.control.drain(self.now, kill);
+                let out = self.control.drain(self.now, self.now, kill);
                 self.apply(out);
             }
             _ => self.pass(span),
@@ -619,7 +619,7 @@
     let mut world = quiet();
     let kill = world.now + 3_000 * MS;
     world.drain = Some((world.now, kill));
-    let out = world.control.drain(world.now, kill);
+    let out = world.control.drain(world.now, world.now, kill);
     world.apply(out);
     assert!(world.health == Some(false) && world.credit > Some(0.0), "what comes within the grace is run");
     let early = world.read(0, 0, 0, 1_500 * MS, None);
