Connections end in order: what had come is taken, then writing ends, then they are read on

Read in net/src/socket.rs: pump left unread what came once a connection was to be closed, and drive closed over it. That is a reset, which takes answers on their way with it; an RPC that lay in the buffer for longer than a crossing was lost. Forced on sockets with the worker halted until bytes and end are both there: 'Connection reset by peer' without the mend, for a request before the end and for an answer of 60,000 bytes; the same for connections in the accept queue. Now a sidecar's connection is looked at once more before it is closed; what came is answered first. Then writing ends, and it is read on until the other side closes, 0.5 s or 64 KiB at the most; at once where its place is wanted for another. Once callers are told to leave, the listening socket closes, after what waited in its queue was taken in; at the end all connections are closed so before the process is.

--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -7,12 +7,12 @@
 use crate::wire::{ConnId, LinkId, Place, Wire};
 use asterrill::{Final, RpcId, Us};
 use asterrill_agree::Gate;
-use asterrill_net::{elapsed, now, Bell, Outbox, Pool, Room, SIZE};
+use asterrill_net::{elapsed, now, Bell, Door, Outbox, Pool, Room, SIZE};
 use asterrill_protocol::agent::{self, NoticeId};
 use asterrill_protocol::frames::{self, ANSWER_HEAD};
 use asterrill_protocol::records;
 use slog::{info, warn, Logger};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
@@ -23,6 +23,7 @@
 const QUIET: Us = 1_000_000; // idle ones are asked to leave for that once they have been quiet so long
 const LINES: u32 = 5; // of the log in a second about sidecars; more are counted only
 const LEAVE: Us = 1_000_000; // a sidecar told that a connection is not wanted closes it within this time
+const SLOW: Us = 10_000_000; // to take what is owed, once a connection is to be closed: then it is cut off
 const BELOW: Us = 500_000; // an unused link below is closed before the other side does, or forgets it
 const STALL: Us = 200_000; // a reply from below that stopped halfway is waited for so long
 
@@ -42,6 +43,8 @@
     halfway: Option<Us>,
     /// When the sidecar was told that it is not wanted any more.
     leaving: Option<Us>,
+    /// Its place is wanted for another.
+    crowded: bool,
 }
 
 /// Of how much use a connection is while it is idle.
@@ -83,8 +86,9 @@
 /// The outboxes: what the core has written goes through here.
 struct Ports {
     lines: BTreeMap<ConnId, Line>,
-    /// Connections of which no more is read: each is closed once nothing is owed on it.
-    ending: BTreeSet<ConnId>,
+    /// Connections that are closed once nothing is owed on them, and since when that has been said to their drivers.
+    ending: BTreeMap<ConnId, Option<Us>>,
+    door: Door,
     agent: Outbox,
     below: Vec<Outbox>,
     broker: Option<Outbox>,
@@ -129,11 +133,13 @@
 
 impl Hub {
     pub fn new(
-        core: Core, agent: Outbox, below: Vec<Outbox>, room: usize, idle: Us, pools: [Pool; 2], log: Logger,
+        core: Core, agent: Outbox, below: Vec<Outbox>, room: usize, idle: Us, pools: [Pool; 2], door: Door,
+        log: Logger,
     ) -> Hub {
         let ports = Ports {
             lines: BTreeMap::new(),
-            ending: BTreeSet::new(),
+            ending: BTreeMap::new(),
+            door,
             agent,
             room,
             told: (0, 0),
@@ -234,7 +240,7 @@
         if inner.ports.draining {
             inner.ports.leave(&out);
         }
-        let line = Line { out, since: now(), heard: false, halfway: None, leaving: None };
+        let line = Line { out, since: now(), heard: false, halfway: None, leaving: None, crowded: false };
         inner.ports.lines.insert(conn, line);
         conn
     }
@@ -253,9 +259,15 @@
     /// After bytes of a connection were taken: whether it has said something whole so far, and whether it
     /// stands in the middle of a frame.
     pub fn heard(&self, conn: ConnId, heard: bool, halfway: bool) {
-        if let Some(line) = self.inner().ports.lines.get_mut(&conn) {
-            line.heard = heard;
-            line.halfway = if halfway { line.halfway.or_else(|| Some(now())) } else { None };
+        let mut inner = self.inner();
+        let Inner { core, ports, .. } = &mut *inner;
+        let Some(line) = ports.lines.get_mut(&conn) else { return };
+        line.heard = heard;
+        line.halfway = if halfway { line.halfway.or_else(|| Some(now())) } else { None };
+        // Something came on one that was about to be closed: that waits until it has been dealt with.
+        if let Some(told) = ports.ending.get_mut(&conn) {
+            *told = None;
+            ports.finish(core);
         }
     }
 
@@ -273,7 +285,7 @@
         let Inner { core, ports, .. } = &mut *inner;
         match error {
             Some(why) => core.counters().bad_sidecar += u64::from(ports.end(conn, why)),
-            None if ports.lines.contains_key(&conn) => drop(ports.ending.insert(conn)),
+            None if ports.lines.contains_key(&conn) => ports.close(conn),
             None => {}
         }
         ports.finish(core);
@@ -293,7 +305,7 @@
             } else if !line.heard && line.since + FIRST < now {
                 mute.push(*conn);
             } else if line.leaving.is_some_and(|since| since + LEAVE < now) {
-                ports.ending.insert(*conn);
+                ports.ending.entry(*conn).or_default();
             } else if line.leaving.is_none() {
                 staying += 1;
                 if line.used().saturating_add(ports.idle) < now && !core.owes(*conn) {
@@ -301,6 +313,13 @@
                 }
             }
         }
+        // Who reads so slowly that what it is owed is not written in time holds a place that others want.
+        for (conn, told) in &ports.ending {
+            if let Some(line) = ports.lines.get(conn).filter(|_| told.is_some_and(|since| since + SLOW < now))
+            {
+                line.out.cut();
+            }
+        }
         for (conns, why) in [(stuck, "a frame stopped halfway"), (mute, "nothing whole came")] {
             for conn in conns {
                 core.counters().bad_sidecar += u64::from(ports.end(conn, why));
@@ -348,16 +367,26 @@
             if n == 0 || worth < Worth::New {
                 core.counters().closed_crowded += 1;
                 ports.let_go(conn, now);
-                ports.ending.insert(conn);
+                ports.lines.get_mut(&conn).into_iter().for_each(|line| line.crowded = true);
+                ports.close(conn);
             }
         }
         ports.finish(core);
     }
 
-    /// All that was answered has been written.
-    pub fn flushed(&self) -> bool {
+    /// Closes all connections: what had come on them is dealt with, all that was answered arrives.
+    pub fn close(&self) {
+        let mut inner = self.inner();
+        let Inner { core, ports, .. } = &mut *inner;
+        ports.door.close();
+        let conns: Vec<ConnId> = ports.lines.keys().copied().collect();
+        conns.into_iter().for_each(|conn| ports.close(conn));
+        ports.finish(core);
+    }
+    /// No connection is left, and all that the broker is to be told has been written.
+    pub fn closed(&self) -> bool {
         let ports = &self.inner().ports;
-        ports.lines.values().map(|line| &line.out).chain(&ports.broker).all(Outbox::is_empty)
+        ports.lines.is_empty() && ports.broker.iter().all(Outbox::is_empty)
     }
 
     /// All that was counted.
@@ -388,20 +417,32 @@
 impl Ports {
     /// Closes those of the ending connections on which nothing is owed any more.
     fn finish(&mut self, core: &Core) {
-        let (lines, ending) = (&self.lines, &mut self.ending);
-        ending.retain(|conn| {
-            let over = core.owed_on(*conn) == 0;
-            if let Some(line) = lines.get(conn).filter(|_| over) {
-                line.out.finish();
+        for (conn, told) in self.ending.iter_mut().filter(|(_, told)| told.is_none()) {
+            let Some(line) = self.lines.get(conn) else { continue };
+            if line.halfway.is_none() && core.owed_on(*conn) == 0 {
+                *told = Some(now());
+                if line.crowded {
+                    line.out.finish_soon();
+                } else {
+                    line.out.finish();
+                }
             }
-            !over
-        });
+        }
+    }
+
+    /// A connection is to be closed.
+    fn close(&mut self, conn: ConnId) {
+        self.ending.entry(conn).or_default();
     }
 
     /// Ends a connection that is of no use: it is told why, and closed once nothing is owed on it. False if
     /// it ends already.
     fn end(&mut self, conn: ConnId, why: &str) -> bool {
-        let Some(line) = self.lines.get(&conn).filter(|_| self.ending.insert(conn)) else { return false };
+        let Some(line) = self.lines.get_mut(&conn) else { return false };
+        if self.ending.insert(conn, None).is_some() {
+            return false;
+        }
+        line.halfway = None;
         let second = now() / 1_000_000;
         self.told = if self.told.0 == second { (second, self.told.1 + 1) } else { (second, 1) };
         if self.told.1 <= LINES {
@@ -495,6 +536,7 @@
     }
     fn leaving(&mut self) {
         self.draining = true;
+        self.door.close();
         let outs: Vec<Outbox> = self.lines.values().map(|line| line.out.clone()).collect();
         for out in outs {
             self.leave(&out);
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -29,7 +29,7 @@
 use crate::wire::{ConnId, LinkId};
 use asterrill::Us;
 use asterrill_conf::{File, Form};
-use asterrill_net::{drive, hold, listen, now, spawn, wait_until, Address, End, Outbox, Pause, Pool};
+use asterrill_net::{drive, hold, listen, now, spawn, wait_until, Address, Door, End, Outbox, Pause, Pool};
 use asterrill_protocol::{agent, frames, records};
 use asterrill_recovery::{phase, Moment};
 use asterrill_rollout::{start_with, Start};
@@ -52,6 +52,7 @@
 const LOOK: Us = 10_000_000; // the clock goes round at least this often
 const LATE: Us = 20_000; // a clock this late tells of a pause: what has arrived meanwhile is read first
 const SETTLE: Us = 5_000; // time for that
+const CLOSING: Us = 70_000; // for all connections to be closed on both sides, before the kill
 
 fn main() -> ExitCode {
     // A panic is a defect here. What is left would serve without one of its parts: better to start anew.
@@ -146,8 +147,9 @@
     let cores = server.cores;
     let core = Core::new(now(), server, held.clone(), below.len());
     let room = room(to.sockets);
-    let (out, links) = (agent_out.clone(), below.clone());
-    let hub = Arc::new(Hub::new(core, out, links, room, idle, [pool.clone(), held], log.clone()));
+    let (out, links, door) = (agent_out.clone(), below.clone(), Door::default());
+    let pools = [pool.clone(), held];
+    let hub = Arc::new(Hub::new(core, out, links, room, idle, pools, door.clone(), log.clone()));
     if let Some((queues, addresses, pause)) = broker {
         let out = Outbox::new(&pool, LINK);
         hub.take_queues(queues, out.clone());
@@ -239,6 +241,7 @@
         spawn("listener", move || {
             listen(
                 listener,
+                &door,
                 hub.room.clone(),
                 log,
                 || crowd.crowded(),
@@ -451,8 +454,9 @@
         });
         changes.tick(hub);
         if hub.with(|core, _, _| core.left()) {
-            let until = now() + SETTLE * 8;
-            while !hub.flushed() && now() < until {
+            hub.close();
+            let until = now() + CLOSING;
+            while !hub.closed() && now() < until {
                 wait_until(now() + SETTLE);
             }
             handle.close();
--- a/daemon/src/parties.rs
+++ b/daemon/src/parties.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+const LINGER: Us = 500_000; // a sidecar closes what is closed here within this time, or is reset
 const REPORT: Us = 1_000_000; // between reports to the name service
 const WITHIN: Duration = Duration::from_millis(800); // a report that takes longer is lost
 
@@ -66,6 +67,10 @@
     fn half_closed(&mut self) {
         self.hub.ending(self.conn, None);
     }
+    fn lingers(&self) -> Option<u64> {
+        // One that never said anything whole is owed nothing, and others may want its place.
+        Some(if self.heard { LINGER } else { 0 })
+    }
 }
 
 /// The agent that owns the cores.
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -15,7 +15,7 @@
 pub use clock::{elapsed, now, wait_until, Bell};
 pub use datagrams::Datagrams;
 pub use link::{hold, Address, Party, Pause};
-pub use listener::{bind, listen, Room};
+pub use listener::{bind, listen, Door, Room};
 pub use outbox::Outbox;
 pub use pool::{Buf, Pool, SIZE};
 pub use socket::{drive, exchange, End, Peer};
--- a/net/src/outbox.rs
+++ b/net/src/outbox.rs
@@ -31,6 +31,7 @@
     waiting: usize,
     most: usize,
     close: Close,
+    hurry: bool, // its place is wanted: the other side is not waited for
     waker: Option<Waker>,
     used: u64,
 }
@@ -88,6 +89,14 @@
         queue.close = queue.close.max(Close::Written);
         wake(&queue);
     }
+    /// The same, and its place is wanted: the other side is not waited for once all is written.
+    pub fn finish_soon(&self) {
+        self.queue().hurry = true;
+        self.finish();
+    }
+    pub(crate) fn hurry(&self) -> bool {
+        self.queue().hurry
+    }
     /// The same for a link. Nothing without a connection, or it could never be made again: false then.
     pub fn let_go(&self) -> bool {
         self.close(Close::Written)
@@ -118,6 +127,13 @@
         self.queue().used
     }
 
+    /// It is not to be closed yet after all: something has come meanwhile.
+    pub(crate) fn reopen(&self) {
+        let mut queue = self.queue();
+        if queue.close == Close::Written {
+            queue.close = Close::No;
+        }
+    }
     pub(crate) fn closing(&self) -> Close {
         self.queue().close
     }
--- a/net/src/tests.rs
+++ b/net/src/tests.rs
@@ -48,7 +48,7 @@
         .unwrap();
     };
     let crowded = move || asked.send("crowded").unwrap_or_default();
-    spawn("listen", move || listen(listener, Room::new(room), log, crowded, took)).unwrap();
+    spawn("listen", move || listen(listener, &Door::default(), Room::new(room), log, crowded, took)).unwrap();
     (at, heard)
 }
 
@@ -276,7 +276,7 @@
         })
         .unwrap();
     };
-    spawn("listen", move || listen(listener, kept, log, || {}, took)).unwrap();
+    spawn("listen", move || listen(listener, &Door::default(), kept, log, || {}, took)).unwrap();
     let served = |stream: &mut Plain| {
         stream.set_read_timeout(Some(Duration::from_millis(150))).unwrap();
         stream.read(&mut [0]).is_ok_and(|n| n == 1)
