Settings of any customer make a server or are refused by name: bounds, names, words

Tried: every figure of the settings at 0, tiny, huge, negative, of another kind and left out, then 120 RPCs through the module. Seen: 'attempt to add with overflow' in src/control.rs where a time is huge; names with blanks, which break the agent's lines, and empty or doubled ones were taken; a wrong kind of Below, StopMode or Say passed for none. At fault: settings/src/lib.rs and deployment.rs checked signs only. Spans over 31 years count as that; greater figures, odd names and unknown words are refused by the key's name, limits too, and links below are 1,024 at the most however many descriptors there are. settings/tests/customers.rs fails before.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -46,6 +46,7 @@
 const KEPT_BACK: u64 = 16; // descriptors: 13 are in use without a sidecar or a link below
 const BELOW: u64 = 8; // of the descriptors, the share of one in so many for links below
 const LEAST: u64 = 2; // links below, so that a call can go by another than the one before
+const MOST: u64 = 1_024; // and no more than these, each has its coroutine
 const LINE: usize = 192 * 1024; // bytes that may wait for a sidecar: more than all its answers at once
 const LINK: usize = 1024 * 1024; // bytes that may wait for the agent or the layer below
 const SWEEP: Us = 100_000; // between looks at idle connections
@@ -281,7 +282,7 @@
 
 /// Links below, and connections, that there is room for with so many descriptors.
 fn links(sockets: u64) -> u64 {
-    (sockets / BELOW).max(LEAST)
+    (sockets / BELOW).clamp(LEAST, MOST)
 }
 fn room(sockets: u64) -> usize {
     sockets.saturating_sub(KEPT_BACK + links(sockets)).max(1) as usize
--- a/settings/src/deployment.rs
+++ b/settings/src/deployment.rs
@@ -37,8 +37,8 @@
         },
         seed: u64::from_str_radix(text(&v, "seed")?, 16).map_err(|_| Fault::missing("seed"))?,
         stop: time(&v, "stop_ms")?,
-        memory_mb: maybe(limits, "memory_mb")?.ok_or_else(|| Fault::missing("limits.memory_mb"))? as u64,
-        sockets: integer(limits, "sockets").map_err(|_| Fault::missing("limits.sockets"))?,
+        memory_mb: limit(maybe(limits, "memory_mb")?, "limits.memory_mb")?,
+        sockets: limit(integer(limits, "sockets").ok().map(|n| n as f64), "limits.sockets")?,
         server: part(&v, "settings")?.clone(),
     };
     // What the module can't be made of is found before anything starts.
@@ -46,6 +46,17 @@
     Ok(deployment)
 }
 
+/// A terabyte, or a million descriptors, at the most; none is no limit to run under.
+const GREATEST: f64 = 1_048_576.0;
+
+fn limit(told: Option<f64>, name: &str) -> Result<u64, Fault> {
+    let told = told.ok_or_else(|| Fault::missing(name))?;
+    if !(1.0..=GREATEST).contains(&told) {
+        return Err(Fault::new(format!("field {name} is out of bounds: {told}")));
+    }
+    Ok(told as u64)
+}
+
 fn address(v: &Value, name: &str) -> Result<SocketAddr, Fault> {
     text(v, name)?.parse().map_err(|_| Fault::missing(name))
 }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -68,9 +68,51 @@
     v.get(name).and_then(Value::as_bool).unwrap_or(false)
 }
 
+/// Longer spans are taken for this one, 31 years: sums of them and of moments stay far from their type's end.
+const LONGEST: Us = 1_000_000_000_000_000;
+/// Greater numbers of cores, servers and callers, and greater worths and rates, are refused.
+const GREATEST: f64 = 1e9;
+
 pub fn us(ms: f64) -> Us {
-    (ms * 1000.0).round() as Us
+    ((ms * 1000.0).round() as Us).min(LONGEST)
+}
+
+/// A number within bounds that no deployment comes near.
+fn bounded(v: &Value, name: &str) -> Result<f64, Fault> {
+    let n = number(v, name)?;
+    if n > GREATEST {
+        return Err(Fault(format!("field {name} is out of bounds: {n}")));
+    }
+    Ok(n)
+}
+fn maybe_bounded(v: &Value, name: &str) -> Result<Option<f64>, Fault> {
+    match v.get(name) {
+        None | Some(Value::Null) => Ok(None),
+        Some(_) => bounded(v, name).map(Some),
+    }
+}
+
+/// One of several words; the first of them where nothing is told.
+fn choice<T: Copy>(v: &Value, name: &str, words: &[(&str, T)]) -> Result<T, Fault> {
+    let word = match v.get(name) {
+        None | Some(Value::Null) => None,
+        Some(_) => Some(text(v, name)?),
+    };
+    let found = words.iter().find(|(known, _)| word.is_none_or(|word| word == *known));
+    found.map(|(_, t)| *t).ok_or_else(|| Fault(format!("{name} {} is not known", word.unwrap_or_default())))
+}
+
+/// The name of a method, which stands as a word in lines to the agent, or of a tenant; either comes in frames.
+fn name(v: &Value, word: bool) -> Result<&str, Fault> {
+    let name = text(v, "Name")?;
+    let odd = |c: char| c.is_control() || word && c.is_whitespace();
+    if name.is_empty() || name.len() > NAME || name.chars().any(odd) {
+        let blanks = if word { ", without blanks" } else { "" };
+        return Err(Fault(format!("Name {name:?} has to be text of 1 to {NAME} bytes{blanks}")));
+    }
+    Ok(name)
 }
+const NAME: usize = 128;
 
 /// Milliseconds outside, whole microseconds inside.
 pub fn time(v: &Value, name: &str) -> Result<Us, Fault> {
@@ -99,8 +141,8 @@
             "single_shot" => Effect::NonIdempotent,
             other => return Err(Fault(format!("Effect {other} is not known"))),
         },
-        criticality: number(category, "Worth")?,
-        late_share: maybe(category, "LateWorth")?.unwrap_or(0.0),
+        criticality: bounded(category, "Worth")?,
+        late_share: maybe_bounded(category, "LateWorth")?.unwrap_or(0.0),
         window: maybe_time(category, "WindowMs")?,
         skip_share,
     })
@@ -140,44 +182,48 @@
     let skips = list(family, "ClassSkipWorth");
     let (mut methods, mut names) = (Vec::new(), BTreeMap::new());
     for (i, category) in categories.iter().enumerate() {
-        methods.push(method(category, skips.get(i).and_then(Value::as_f64).unwrap_or(0.0))?);
-        names.insert(text(category, "Name")?.to_string(), MethodId(i));
+        methods.push(method(
+            category,
+            skips.get(i).and_then(Value::as_f64).unwrap_or(0.0).clamp(0.0, GREATEST),
+        )?);
+        let name = name(category, true)?;
+        if names.insert(name.to_string(), MethodId(i)).is_some() {
+            return Err(Fault(format!("Name {name} stands twice in Categories")));
+        }
     }
     let (mut rates, mut tenants) = (Vec::new(), BTreeMap::new());
     for (i, tenant) in list(params, "Tenants").iter().enumerate() {
-        rates.push(number(tenant, "QuotaRps")?);
-        tenants.insert(text(tenant, "Name")?.to_string(), i);
+        rates.push(bounded(tenant, "QuotaRps")?);
+        let name = name(tenant, false)?;
+        if tenants.insert(name.to_string(), i).is_some() {
+            return Err(Fault(format!("Name {name} stands twice in Tenants")));
+        }
     }
-    let below = match family.get("Below").and_then(Value::as_str).unwrap_or("off") {
+    let below = match choice(family, "Below", &[("off", "off"), ("shared", "shared"), ("tier", "tier")])? {
         "shared" => {
-            Below::Shared { share: number(family, "CallShare")?, window: time(family, "DepWindowMs")? }
+            Below::Shared { share: bounded(family, "CallShare")?, window: time(family, "DepWindowMs")? }
         }
         "tier" => Below::Tier,
-        "off" => Below::Nothing,
-        other => return Err(Fault(format!("Below {other} is not known"))),
-    };
-    let stop_mode = match family.get("StopMode").and_then(Value::as_str).unwrap_or("off") {
-        "off" => StopMode::Off,
-        "abort" => StopMode::Abort,
-        "suspend" => StopMode::Suspend,
-        other => return Err(Fault(format!("StopMode {other} is not known"))),
-    };
-    let say = match family.get("Say").and_then(Value::as_str).unwrap_or("off") {
-        "off" => Say::Off,
-        "window" => Say::Credit,
-        "threshold" => Say::Threshold,
-        "share_of" => Say::ShareOf,
-        other => return Err(Fault(format!("Say {other} is not known"))),
+        _ => Below::Nothing,
     };
-    let cores = integer(family, "NCores")? as usize;
+    let modes = [("off", StopMode::Off), ("abort", StopMode::Abort), ("suspend", StopMode::Suspend)];
+    let stop_mode = choice(family, "StopMode", &modes)?;
+    let says = [
+        ("off", Say::Off),
+        ("window", Say::Credit),
+        ("threshold", Say::Threshold),
+        ("share_of", Say::ShareOf),
+    ];
+    let say = choice(family, "Say", &says)?;
+    let cores = bounded(family, "NCores").and(integer(family, "NCores"))? as usize;
     let cold = cold.unwrap_or_else(|| flag(family, "Cold"));
-    let cold = if cold { number(safety, "ColdFrom")? } else { 1.0 };
+    let cold = if cold { bounded(safety, "ColdFrom")?.min(1.0) } else { 1.0 };
     let shortest = methods.iter().map(|m| m.latency_target).min().unwrap_or(1);
     let relayed = if flag(limits, "RetryAfter") { maybe_time(limits, "MaxRetryAfterMs")? } else { 0 };
-    let callers = maybe(family, "Callers")?.unwrap_or(1.0) as usize;
-    let replicas = maybe(params, "ReplicasOfMe")?.unwrap_or(1.0) as usize;
-    let factor = maybe(family, "RunFactor")?.unwrap_or(1.0);
-    let over = maybe(params, "OverShareWorth")?.unwrap_or(1.0);
+    let callers = maybe_bounded(family, "Callers")?.unwrap_or(1.0) as usize;
+    let replicas = maybe_bounded(params, "ReplicasOfMe")?.unwrap_or(1.0) as usize;
+    let factor = maybe_bounded(family, "RunFactor")?.unwrap_or(1.0);
+    let over = maybe_bounded(params, "OverShareWorth")?.unwrap_or(1.0);
     let (fresh, step) = (maybe_time(family, "FreshMs")?, maybe_time(params, "StepMs")?);
     let gauges = list(family, "Gauges").iter().filter_map(Value::as_str).map(str::to_string).collect();
     let effects: Vec<Effect> = methods.iter().map(|m| m.effect).collect();
@@ -191,9 +237,9 @@
         stop_mode,
         methods,
         Accounts::new(shortest, callers),
-        Target::new(now, cores, number(safety, "TipMultiple")?, cold, time(safety, "RampTimeMs")?),
+        Target::new(now, cores, bounded(safety, "TipMultiple")?, cold, time(safety, "RampTimeMs")?),
         Calls::new(below, cores, maybe_time(family, "LingerMs")?, shortest),
-        Keys::new(maybe(family, "KbPerKey")?.unwrap_or(0.0), fresh),
+        Keys::new(maybe_bounded(family, "KbPerKey")?.unwrap_or(0.0), fresh),
         Memory::new(number(family, "RamKb")?, factor),
         Drain::new(time(safety, "StopSendingWithinMs")?),
         Credit::new(say, relayed, shortest, maybe_time(family, "IdleMs")?),
--- /dev/null
+++ b/settings/tests/customers.rs
@@ -0,0 +1,190 @@
+//! Settings of any customer: each either makes a server that decides without a panic, or is refused by the name of the key
+//! at fault.
+
+use asterrill::*;
+use serde_json::{json, Value};
+
+const MS: Us = 1_000;
+const NOW: Us = 1_790_000_000_000 * MS;
+
+fn settings() -> Value {
+    json!({
+        "Categories": [
+            {"Name": "look", "AimMs": 400, "DeadlineMs": 900, "Effect": "free", "Worth": 1, "LateWorth": 0.2},
+            {"Name": "pay", "AimMs": 500, "DeadlineMs": 1000, "Effect": "guarded", "Worth": 3, "WindowMs": 2000}],
+        "Tenants": [{"Name": "acme", "QuotaRps": 10, "Fraction": 0.4}],
+        "FamilyInfo": {"Below": "shared", "CallShare": 2.5, "DepWindowMs": 5000, "NCores": 2, "RamKb": 4000, "RunFactor": 4,
+            "Say": "window", "StopMode": "abort", "Gauges": ["links", "on_cores"], "FreshMs": 150, "KbPerKey": 1,
+            "ClassSkipWorth": [0.5, 0], "IdleMs": 5000, "LingerMs": 50, "Callers": 2, "Cold": true},
+        "Limits": {"RetryAfter": true, "MaxRetryAfterMs": 300},
+        "OverShareWorth": 0.1, "ReplicasOfMe": 3,
+        "Safety": {"TipMultiple": 8, "ColdFrom": 0.3, "RampTimeMs": 3000, "StopSendingWithinMs": 400},
+        "StepMs": 4})
+}
+
+/// All places of a value that is no object, by their paths.
+fn leaves(value: &Value, at: &str, found: &mut Vec<String>) {
+    match value {
+        Value::Object(map) => {
+            map.iter().for_each(|(key, inner)| leaves(inner, &format!("{at}/{key}"), found))
+        }
+        Value::Array(list) if list.iter().any(Value::is_object) => {
+            list.iter().enumerate().for_each(|(i, inner)| leaves(inner, &format!("{at}/{i}"), found));
+        }
+        _ => found.push(at.to_string()),
+    }
+}
+
+/// Plays a few RPCs through a server, with all that may come of them.
+fn play(settings: &Value) -> Result<(), String> {
+    let mut server = asterrill_settings::server(NOW, 7, settings, None).map_err(|fault| fault.to_string())?;
+    let control = &mut server.control;
+    let fine = |out: &Outcome| {
+        assert!(out.credit.is_none_or(|credit| credit.is_finite() && credit >= 0.0), "{out:?}")
+    };
+    fine(&control.started());
+    let (mut now, mut running) = (NOW, Vec::new());
+    for n in 0..120_u64 {
+        now += 7 * MS;
+        let method = MethodId(n as usize % server.effects.len());
+        let due = (n % 3 > 0).then_some(now + 300 * MS);
+        let prior = (n % 11 == 10).then(|| RpcId::of(n - 1));
+        let (id, caller, unread) = (RpcId::of(n), CallerId(n % 5), n % 4 * MS);
+        let tenant = (n % 2 == 0 && !server.tenants.is_empty()).then_some(0);
+        let a =
+            Arrival { id, method, caller, due, size_kb: 9.0, unread, repeat: false, prior, key: Some(n % 7) };
+        let out = control.rpc_read(now, a, tenant);
+        fine(&out);
+        running.extend(out.runs);
+        if n % 3 == 0 {
+            if let Some(id) = running.pop() {
+                fine(&control.call_needed(now, id));
+                fine(&control.call_ended(now, id, [CallEnd::Ok, CallEnd::TimedOut][n as usize % 2]));
+                let out = control.run_ended(now, id, RunEnd::Ok);
+                fine(&out);
+                running.extend(out.runs);
+            }
+        }
+        let gauges = Gauges { on_cores: Some(n as f64 % 5.0), heap_share: Some(0.5), links: Some(n as f64) };
+        fine(&control.woken(now, gauges));
+        if n == 90 {
+            fine(&control.drain(now, now, now + 500 * MS));
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn any_figure_makes_a_server_or_is_refused_by_its_name() {
+    let mut places = Vec::new();
+    leaves(&settings(), "", &mut places);
+    assert!(places.len() > 30, "{places:?}");
+    let values = [
+        json!(0),
+        json!(1e-9),
+        json!(0.5),
+        json!(1),
+        json!(1e6),
+        json!(1e12),
+        json!(1e15),
+        json!(1e18),
+        json!(1e308),
+        json!(u64::MAX),
+        json!(-1),
+        json!(-1e300),
+        json!("many"),
+        json!(true),
+        json!([]),
+        json!({}),
+        Value::Null,
+    ];
+    let (mut made, mut refused) = (0, 0);
+    for place in &places {
+        for value in &values {
+            let mut odd = settings();
+            *odd.pointer_mut(place).unwrap() = value.clone();
+            let key = place.rsplit('/').find(|part| part.parse::<usize>().is_err()).unwrap();
+            match play(&odd) {
+                Ok(()) => made += 1,
+                Err(why) if why.contains(key) => refused += 1,
+                Err(why) => panic!("{place} = {value}: {why:?} does not name {key}"),
+            }
+        }
+        // Not there at all.
+        let (parent, key) = place.rsplit_once('/').unwrap();
+        let mut odd = settings();
+        if let Some(map) = odd.pointer_mut(parent).and_then(Value::as_object_mut) {
+            map.remove(key);
+            if let Err(why) = play(&odd) {
+                assert!(why.contains(key), "without {place}: {why:?}");
+            }
+        }
+    }
+    assert!(made > 200 && refused > 100, "{made} {refused}");
+}
+
+#[test]
+fn one_method_no_tenants_and_names_in_any_script_are_served() {
+    let mut odd = settings();
+    for (name, fine) in
+        [("البحث", true), ("查價", true), ("", false), ("two words", false), ("line\r\nend", false)]
+    {
+        odd["Categories"] =
+            json!([{"Name": name, "AimMs": 400, "DeadlineMs": 900, "Effect": "free", "Worth": 1}]);
+        odd["Tenants"] = json!([]);
+        match play(&odd) {
+            Ok(()) => assert!(fine, "{name:?}"),
+            Err(why) => assert!(!fine && why.contains("Name"), "{name:?}: {why}"),
+        }
+    }
+    for twice in ["Categories", "Tenants"] {
+        let mut odd = settings();
+        let first = odd[twice][0].clone();
+        odd[twice].as_array_mut().unwrap().push(first);
+        assert!(play(&odd).unwrap_err().contains("Name"), "two of one name in {twice}");
+    }
+    assert!(play(&json!({})).unwrap_err().contains("FamilyInfo"));
+    odd = settings();
+    odd.as_object_mut().unwrap().remove("Tenants");
+    odd["Unheard"] = json!({"Of": [1, 2]});
+    play(&odd).unwrap();
+}
+
+#[test]
+fn a_deployment_is_read_whole_or_refused_by_the_name_of_the_field() {
+    let told = json!({"name": "n1", "listen": "127.0.0.1:1", "agent": "127.0.0.1:2", "naming": "127.0.0.1:3",
+        "records": "127.0.0.1:4", "seed": "ff", "stop_ms": 900, "limits": {"memory_mb": 64, "sockets": 64},
+        "settings": settings()});
+    let read = |told: &Value| asterrill_settings::read(&told.to_string()).map_err(|fault| fault.to_string());
+    assert!(read(&told).is_ok());
+    let places =
+        ["name", "listen", "agent", "naming", "seed", "stop_ms", "limits/memory_mb", "limits/sockets"];
+    for place in places {
+        let path = format!("/{place}");
+        let key = place.rsplit('/').next().unwrap();
+        for value in [json!([]), json!(-3), json!("zz:"), Value::Null, json!({})] {
+            let mut odd = told.clone();
+            *odd.pointer_mut(&path).unwrap() = value.clone();
+            match read(&odd) {
+                Ok(_) => assert!(key == "name" && value.is_string(), "{place} = {value}"),
+                Err(why) => assert!(why.contains(key), "{place} = {value}: {why}"),
+            }
+        }
+    }
+    for (key, value) in [
+        ("memory_mb", json!(0)),
+        ("memory_mb", json!(1e300)),
+        ("sockets", json!(0)),
+        ("sockets", json!(u64::MAX)),
+    ] {
+        let mut odd = told.clone();
+        odd["limits"][key] = value.clone();
+        assert!(read(&odd).unwrap_err().contains(key), "{key} = {value}");
+    }
+    let mut last = told.clone();
+    last.as_object_mut().unwrap().remove("records");
+    assert!(read(&last).unwrap().records.is_none());
+    for cut in [0, 1, 40, told.to_string().len() - 1] {
+        assert!(asterrill_settings::read(&told.to_string()[..cut]).unwrap_err().to_string().contains("JSON"));
+    }
+}
