A cold server's numbers sum to the crowd it survives, over all callers that there may be

Read: publish in src/control.rs gave each caller max_parallel_reqs while nothing was held, cold or not, so 30 callers could have 30 times what a cold server survives out there; each process sees its own share only. Now the number is at most the crowd survived at that moment over the callers told at the start, or heard of if more; a chance or a level is cut to the least speed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -148,6 +148,7 @@
     pub(crate) of: BTreeMap<CallerId, Account>,
     heard: BTreeSet<(Us, CallerId)>,
     span: f64,
+    known: f64, // callers there were at the start
     active: f64,
     pub(crate) mrr: f64,
     pub(crate) buf_limit: f64,
@@ -156,8 +157,16 @@
 impl Accounts {
     /// `shortest`: the shortest latency target; `callers`: those known at the start.
     pub fn new(shortest: Us, callers: usize) -> Accounts {
-        let (active, span) = (callers.max(1) as f64, shortest as f64 / 1e3 * BUF_SPAN);
-        Accounts { of: BTreeMap::new(), heard: BTreeSet::new(), span, active, mrr: 1e6, buf_limit: 0.0 }
+        let (known, span) = (callers.max(1) as f64, shortest as f64 / 1e3 * BUF_SPAN);
+        Accounts {
+            of: BTreeMap::new(),
+            heard: BTreeSet::new(),
+            span,
+            known,
+            active: known,
+            mrr: 1e6,
+            buf_limit: 0.0,
+        }
     }
 
     /// Shares target_parallel_reqs out over the active callers; accounts long unused are forgotten.
@@ -226,9 +235,12 @@
         let (cores, ramp) = (cores.max(1) as f64, ramp.max(1) as f64);
         Target { cores, target: cores, tip, cold_from, ramp, start: now }
     }
+    /// Its least speed now over the warm one.
+    fn speed(&self, now: Us) -> f64 {
+        self.cold_from + (1.0 - self.cold_from) * (now.saturating_sub(self.start) as f64 / self.ramp).min(1.0)
+    }
     pub(crate) fn survives(&self, now: Us) -> f64 {
-        let warmed = (1.0 - self.cold_from) * ((now - self.start) as f64 / self.ramp).min(1.0);
-        SAFE * (1.0 + (self.tip - 1.0).max(0.0) * (self.cold_from + warmed)) * self.cores
+        SAFE * (1.0 + (self.tip - 1.0).max(0.0) * self.speed(now)) * self.cores
     }
     pub(crate) fn max_parallel_reqs(&self, now: Us) -> f64 {
         (self.target * HEADROOM).min(self.survives(now)).max(1.0)
@@ -316,8 +328,8 @@
         let spare = self.mean.add(now, 0.0) / self.window + 1.0 / BEATS as f64 <= bound;
         with <= bound || (with < bound + 1.0 && spare)
     }
-    /// Guards against repeats that multiply the load of a layer below that fails. Harm: a call that a second try
-    /// would have made good is left out, or its RPC given up.
+    /// Guards against repeats that multiply the load of a layer below that fails. Harm: a call that a second
+    /// try would have made good is left out, or its RPC given up.
     fn may_repeat(&mut self, now: Us, budget: f64) -> bool {
         let most = if budget.is_finite() { FEW + budget * self.firsts.add(now, 0.0) } else { budget };
         let may = self.repeats.add(now, 0.0) < most;
@@ -554,10 +566,10 @@
         })
     }
 
-    /// Other settings from now on, all at once: those of `fresh`. Its methods stand at these places here, known ones
-    /// at theirs and new ones after the last; the tenants that were known before at `tenants`. Methods that are not
-    /// named are over, but stay for what is in hand. Accounts, learned costs, target, breaker, and the terms under
-    /// which each RPC was read go on.
+    /// Other settings from now on, all at once: those of `fresh`. Its methods stand at these places here, known
+    /// ones at theirs and new ones after the last; the tenants that were known before at `tenants`. Methods that
+    /// are not named are over, but stay for what is in hand. Accounts, learned costs, target, breaker, and the
+    /// terms under which each RPC was read go on.
     pub fn change(
         &mut self, now: Us, fresh: Control, methods: &[usize], tenants: &[Option<usize>],
     ) -> Outcome {
@@ -600,12 +612,12 @@
         self.after(now, |c| c.care = care)
     }
 
-    /// Of what the settings divide among servers, this one's part from now on, over the one that they give it.
+    /// Of what the settings divide among servers, this one's part from now on, over what they give it.
     pub fn share(&mut self, now: Us, part: f64) -> Outcome {
         self.after(now, |c| (c.shares.part, c.calls.part) = (part, part))
     }
 
-    /// What serving an RPC of a method takes, as learned so far, in microseconds; 0 for one that is not known.
+    /// What serving an RPC of a method takes, as learned so far, in microseconds; 0 for an unknown one.
     pub fn cost(&self, method: MethodId) -> f64 {
         self.costs.get(method.0).map_or(0.0, |cost| cost.mean)
     }
@@ -788,7 +800,7 @@
 
     /// `wait`: from now until an RPC like it could be taken. Waiting for long costs clients their target.
     fn push_back(&mut self, id: RpcId, terminal: bool, wait: f64) {
-        // Guards against callers who were turned away together and come back together. Harm: some wait longer.
+        // Guards against callers who were turned away together and come back so. Harm: some wait longer.
         let far = if self.care.spread > 0.0 { self.care.spread * self.chance.generate::<f64>() } else { 0.0 };
         let come_back = ((wait.min(self.credit.fine) * (1.0 + far)) as Us).min(self.credit.come_back);
         self.out.answers.push((id, Answer::PushedBack { terminal, come_back }));
@@ -835,13 +847,18 @@
         let share =
             target / (target + self.hold.order.len() as f64) / crowd * f64::from(u8::from(!over && !still));
         let part = (target + self.calls.in_hand(self.now)) / self.accounts.active;
+        // Guards a cold server against the sum of what all callers send, those not met yet included: what they
+        // may have out here together is what it survives now. Harm: callers that are few use a part of that.
+        let speed = self.target.speed(self.now);
+        let callers = self.accounts.known.max(self.accounts.active);
+        let most = if speed < 1.0 { self.target.survives(self.now) / callers } else { f64::INFINITY };
         let value = match self.credit.say {
             Say::Off => return,
-            Say::Threshold => 1.0 - share,
-            Say::ShareOf => share,
+            Say::Threshold => 1.0 - share.min(speed),
+            Say::ShareOf => share.min(speed),
             Say::Credit if over || still => 0.0,
-            Say::Credit if idle => self.target.max_parallel_reqs(self.now),
-            Say::Credit => part * (1.0 + SPARE_PART * part.min(1.0)) / crowd,
+            Say::Credit if idle => self.target.max_parallel_reqs(self.now).min(most),
+            Say::Credit => (part * (1.0 + SPARE_PART * part.min(1.0)) / crowd).min(most),
         };
         if (value - self.credit.said).abs() > CREDIT_STEP * self.credit.said.max(0.0) {
             self.credit.said = value;
