--- /dev/null
+++ b/daemon/tests/stand_ins/mod.rs
@@ -0,0 +1,243 @@
+//! Stand-ins for the agent, the layer below, the name service and a sidecar, and the program itself.
+#![allow(dead_code)] // each test binary uses some of it
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+pub const WAIT: Duration = Duration::from_secs(10);
+
+pub fn told(listen: SocketAddr, agent: SocketAddr, records: SocketAddr, naming: SocketAddr) -> Value {
+    json!({"name": "n1", "listen": listen.to_string(), "agent": agent.to_string(),
+        "records": records.to_string(), "naming": naming.to_string(), "seed": "00000000000000ff", "stop_ms": 900,
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64},
+        "settings": {
+            "Categories": [{"Name": "look", "AimMs": 800, "DeadlineMs": 2000, "Effect": "free", "Worth": 1}],
+            "FamilyInfo": {"Below": "tier", "NCores": 2, "RamKb": 9000, "RunFactor": 4, "Say": "window",
+                "StopMode": "abort", "Gauges": ["on_cores"], "IdleMs": 30000},
+            "Limits": {}, "Safety": {"TipMultiple": 8, "ColdFrom": 0.3, "RampTimeMs": 3000,
+            "StopSendingWithinMs": 300}, "StepMs": 4}})
+}
+
+pub fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+pub fn path(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("asterrilld-{}-{name}.json", std::process::id()))
+}
+
+pub fn start(name: &str, told: &str) -> Child {
+    let path = path(name);
+    std::fs::write(&path, told).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_asterrilld"));
+    command.env("GW_CONFIG", &path).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap()
+}
+
+pub fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status().unwrap();
+    assert!(sent.success());
+}
+
+pub fn ended(mut child: Child) -> Output {
+    let until = Instant::now() + WAIT;
+    while child.try_wait().unwrap().is_none() {
+        if Instant::now() > until {
+            child.kill().unwrap();
+            panic!("it does not end: {}", text(&child.wait_with_output().unwrap()));
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    child.wait_with_output().unwrap()
+}
+
+pub fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// Reads a line and the body that its last word tells of, for the commands that carry one.
+pub fn command(from: &mut impl BufRead) -> Option<(Vec<String>, Vec<u8>)> {
+    let mut line = String::new();
+    if from.read_line(&mut line).ok()? == 0 {
+        return None;
+    }
+    assert!(line.ends_with("\r\n"), "{line:?}");
+    let words: Vec<String> = line.trim_end().split(' ').map(str::to_string).collect();
+    let mut body = Vec::new();
+    if ["launch", "deliver", "OP"].contains(&words[0].as_str()) {
+        body = vec![0; words.last()?.parse::<usize>().ok()? + 2];
+        from.read_exact(&mut body).ok()?;
+        assert_eq!(body.split_off(body.len() - 2), b"\r\n");
+    }
+    Some((words, body))
+}
+
+/// Takes one connection, and answers what comes first on it with nonsense.
+pub fn spoil(at: &TcpListener, with: &[u8]) {
+    let mut stream = at.accept().unwrap().0;
+    assert!(stream.read(&mut [0; 1024]).unwrap() > 0);
+    stream.write_all(with).unwrap();
+    stream.read(&mut [0; 1024]).unwrap_or_default(); // until it is closed
+}
+
+/// All the notices of an agent, which go on where it moves to.
+pub type Notices = Arc<Mutex<Vec<Vec<u8>>>>;
+
+/// An agent whose first link breaks in the middle of a run. Each run makes one call; its result is the reply.
+pub fn agent(at: TcpListener, nonsense: bool, notices: Notices) {
+    let mut greeted = !notices.lock().unwrap().is_empty();
+    if nonsense {
+        spoil(&at, b"greeting PERHAPS\r\n");
+    }
+    for stream in at.incoming() {
+        let mut to = stream.unwrap();
+        let mut from = BufReader::new(to.try_clone().unwrap());
+        while let Some((words, body)) = command(&mut from) {
+            let mut notices = notices.lock().unwrap();
+            let mut tell = |bytes: Vec<u8>| drop(to.write_all(&bytes));
+            let number = notices.len() + 1;
+            match words[0].as_str() {
+                "subscribe" => {
+                    tell(b"greeting EMPTY 5\r\n".to_vec());
+                    notices.iter().skip(words[1].parse().unwrap()).for_each(|n| tell(n.clone()));
+                }
+                "launch" if body == b"slow" => {
+                    thread::sleep(Duration::from_millis(600));
+                    let line = format!("outcome {number} {} PASS 600 4\r\nslow\r\n", words[1]);
+                    notices.push(line.into_bytes());
+                    tell(notices[number - 1].clone());
+                }
+                "launch" => {
+                    let line = format!("request {number} {} {}\r\n", words[1], body.len());
+                    notices.push([line.as_bytes(), &body, b"\r\n"].concat());
+                    if !std::mem::replace(&mut greeted, true) {
+                        break; // the notice waits for the next link
+                    }
+                    tell(notices[number - 1].clone());
+                }
+                "deliver" => {
+                    let line = format!("outcome {number} {} PASS 1 {}\r\n", words[1], body.len());
+                    notices.push([line.as_bytes(), &body, b"\r\n"].concat());
+                    tell(notices[number - 1].clone());
+                }
+                "sample" => tell(format!("sampled {} 1\r\n", words[1]).into_bytes()),
+                "exercise" => tell(format!("exercised {} PASS\r\n", words[1]).into_bytes()),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// A layer below that answers each call with its body, turned round.
+pub fn below(at: TcpListener, nonsense: bool) {
+    if nonsense {
+        spoil(&at, b"what?\r\n");
+    }
+    for stream in at.incoming() {
+        let mut to = stream.unwrap();
+        let mut from = BufReader::new(to.try_clone().unwrap());
+        thread::spawn(move || {
+            while let Some((words, mut body)) = command(&mut from) {
+                if words[0] == "OP" {
+                    body.reverse();
+                    let line = format!("{} DONE {}\r\n", words[1], body.len());
+                    to.write_all(&[line.as_bytes(), &body, b"\r\n"].concat()).unwrap_or_default();
+                }
+            }
+        });
+    }
+}
+
+pub fn naming(at: TcpListener, told: Sender<String>, nonsense: bool) {
+    if nonsense {
+        spoil(&at, b"HTTP/9 who?\r\n\r\n");
+    }
+    for stream in at.incoming() {
+        let mut to = stream.unwrap();
+        let mut from = BufReader::new(to.try_clone().unwrap());
+        let told = told.clone();
+        thread::spawn(move || loop {
+            let (mut head, mut line) = (String::new(), String::new());
+            while from.read_line(&mut line).unwrap_or(0) > 2 {
+                head.push_str(&std::mem::take(&mut line));
+            }
+            let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")?.trim().parse().ok());
+            let Some(length) = length else { return };
+            let mut body = vec![0; length];
+            from.read_exact(&mut body).unwrap();
+            let first = head.lines().next().unwrap_or("").to_string();
+            told.send(format!("{first} {}", String::from_utf8_lossy(&body))).unwrap_or_default();
+            to.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").unwrap_or_default();
+        });
+    }
+}
+
+pub fn frame(kind: u8, stream: u32, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut payload = vec![fields.len() as u8];
+    for (name, value) in fields {
+        payload.push(name.len() as u8);
+        payload.extend_from_slice(name.as_bytes());
+        payload.extend_from_slice(&(value.len() as u16).to_be_bytes());
+        payload.extend_from_slice(value.as_bytes());
+    }
+    payload.extend_from_slice(body);
+    let length = (payload.len() + 5) as u32;
+    [&length.to_be_bytes()[..], &[kind], &stream.to_be_bytes(), &payload].concat()
+}
+
+pub fn ask(stream: u32, trace: &str, body: &[u8]) -> Vec<u8> {
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis().to_string();
+    let fields = [
+        ("route", "look"),
+        ("trace", trace),
+        ("born", &born),
+        ("client", "4"),
+        ("patience", "1900"),
+        ("size", "9"),
+    ];
+    frame(1, stream, &fields, body)
+}
+
+/// The next frame: its type, stream and payload. None at the end of the connection.
+pub fn next(from: &mut TcpStream) -> Option<(u8, u32, Vec<u8>)> {
+    let mut head = [0; 9];
+    from.set_read_timeout(Some(WAIT)).unwrap();
+    from.read_exact(&mut head).ok()?;
+    let length = u32::from_be_bytes(head[..4].try_into().unwrap()) as usize;
+    let mut payload = vec![0; length - 5];
+    from.read_exact(&mut payload).ok()?;
+    Some((head[4], u32::from_be_bytes(head[5..].try_into().unwrap()), payload))
+}
+
+pub fn connect(to: SocketAddr) -> TcpStream {
+    let until = Instant::now() + WAIT;
+    loop {
+        match TcpStream::connect(to) {
+            Ok(stream) => return stream,
+            Err(e) => assert!(Instant::now() < until, "{e}"),
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+pub fn stand_ins(nonsense: bool) -> (SocketAddr, Value, Receiver<String>) {
+    stand_ins_with(nonsense, Notices::default())
+}
+
+pub fn stand_ins_with(nonsense: bool, notices: Notices) -> (SocketAddr, Value, Receiver<String>) {
+    let [a, r, n] = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let at = |l: &TcpListener| l.local_addr().unwrap();
+    let listen = free();
+    let config = told(listen, at(&a), at(&r), at(&n));
+    let (told, reports) = channel();
+    thread::spawn(move || agent(a, nonsense, notices));
+    thread::spawn(move || below(r, nonsense));
+    thread::spawn(move || naming(n, told, nonsense));
+    (listen, config, reports)
+}
