--- a/lab/src/amqp.rs
+++ b/lab/src/amqp.rs
@@ -70,6 +70,7 @@
         ramp: ms(1_000),
         skips: 0.0,
         shared: None,
+        callers: 4,
     }
 }
 
--- a/lab/src/config.rs
+++ b/lab/src/config.rs
@@ -115,6 +115,7 @@
         ramp: ms(1_000),
         skips: 0.0,
         shared: None,
+        callers: 4,
     };
     let password = broker.map_or(String::new(), |broker| broker.state().password.clone());
     let world = World::start(&setup, &password)?;
--- a/lab/src/fleet/callers.rs
+++ b/lab/src/fleet/callers.rs
@@ -460,10 +460,10 @@
     }
 }
 
-type Parts = (u8, Vec<(String, String)>, Vec<u8>);
+pub type Parts = (u8, Vec<(String, String)>, Vec<u8>);
 
 /// An answer's code, fields and body.
-fn parts(payload: &[u8]) -> Option<Parts> {
+pub fn parts(payload: &[u8]) -> Option<Parts> {
     let (code, count) = (*payload.first()?, *payload.get(1)?);
     let (mut rest, mut fields) = (payload.get(2..)?, Vec::new());
     for _ in 0..count {
--- a/lab/src/fleet/members.rs
+++ b/lab/src/fleet/members.rs
@@ -229,6 +229,7 @@
         ramp: RAMP,
         skips: 0.5,
         shared: Some((SHARE, nodes, CALL)),
+        callers: 4,
     }
 }
 
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 pub mod callers;
 pub mod members;
 pub mod mesh;
+pub mod narrow;
 pub mod parties;
 pub mod plot;
 pub mod relay;
--- a/lab/src/fleet/parties.rs
+++ b/lab/src/fleet/parties.rs
@@ -258,6 +258,10 @@
         let seen = inner.history.iter().rev().find(|(at, _)| *at <= then).or_else(|| inner.history.front());
         seen.map(|(_, listed)| listed.clone()).unwrap_or_default()
     }
+    /// When the last report of this backend came that takes work.
+    pub fn reported(&self, name: &str) -> Option<Instant> {
+        lock(&self.inner).last.get(name).filter(|(_, serving)| *serving).map(|(at, _)| *at)
+    }
     /// The most reports that came in one tenth of a second from then on, in tenths since the start.
     pub fn most_reports(&self, from: usize) -> u32 {
         lock(&self.inner).reports.iter().skip(from).copied().max().unwrap_or(0)
--- a/lab/src/fleet/returns.rs
+++ b/lab/src/fleet/returns.rs
@@ -253,6 +253,7 @@
         ramp: RAMP,
         skips: 0.5,
         shared: None,
+        callers: 4,
     };
     let mut fleet = Fleet::start(&Plan { nodes: terms.nodes, setup, cold: COLD, slots, call, mesh: None })?;
     fleet.listed(); // callers come once backends are
--- a/lab/src/fleet/script.rs
+++ b/lab/src/fleet/script.rs
@@ -331,7 +331,7 @@
     }
 
     /// Spoils the state of a member that is down.
-    fn spoil(&self, n: usize, spoil: &Spoil) -> Result<(), Fault> {
+    pub fn spoil(&self, n: usize, spoil: &Spoil) -> Result<(), Fault> {
         let learned = self.state(n).join("learned");
         let text = std::fs::read_to_string(&learned).unwrap_or_default();
         match spoil {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -84,6 +84,12 @@
     FleetMembers,
     /// Processes that agree on lists, with cuts, pauses and deaths between them
     FleetAgree,
+    /// Processes that are killed and start again at once, with what they kept, without it, torn, or with a full disk
+    FleetReady,
+    /// Cold servers under the sum of what as many callers send
+    FleetCold,
+    /// Idle clients fill the descriptors while the name service is down
+    IdleFlood,
     /// CPU of a framed RPC at one of twenty processes, with members and without, in turns
     MembersCpu,
     /// CPU of a framed RPC, this build and another in turns
@@ -104,6 +110,9 @@
             Scenario::FleetReturn => "fleet-return",
             Scenario::FleetMembers => "fleet-members",
             Scenario::FleetAgree => "fleet-agree",
+            Scenario::FleetReady => "fleet-ready",
+            Scenario::FleetCold => "fleet-cold",
+            Scenario::IdleFlood => "idle-flood",
             Scenario::MembersCpu => "members-cpu",
             Scenario::RecoveryCpu => "recovery-cpu",
             Scenario::ConfigRollback => "config-rollback",
@@ -147,6 +156,9 @@
                     _ => fleet::members::scenario(report, &terms),
                 }
             }
+            Scenario::FleetReady => fleet::narrow::ready(report, to.nodes.clamp(3, 40)),
+            Scenario::FleetCold => fleet::narrow::cold(report, to.seed, to.nodes.clamp(3, 40)),
+            Scenario::IdleFlood => fleet::narrow::idle_flood(report, to.seed),
             Scenario::MembersCpu => {
                 fleet::members::cpu(report, to.seed, to.nodes.clamp(3, 40), span(4), to.rate)
             }
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -412,6 +412,8 @@
     /// Of the calls at a time that a layer below survives, the part for each of so many servers, and how long a call may
     /// stay there that was given up.
     pub shared: Option<(f64, usize, Duration)>,
+    /// Callers that the settings name.
+    pub callers: usize,
 }
 
 /// Where one node of several stands: its name and the one address where it listens.
@@ -441,7 +443,7 @@
                 "Below": below, "CallShare": share, "DepWindowMs": 1_000,
                 "LingerMs": linger.as_millis() as u64,
                 "ClassSkipWorth": self.methods.iter().map(|m| if m.calls { self.skips } else { 0.0 }).collect::<Vec<_>>(),
-                "StopMode": "abort", "Gauges": ["on_cores", "links"], "IdleMs": 30_000, "Callers": 4},
+                "StopMode": "abort", "Gauges": ["on_cores", "links"], "IdleMs": 30_000, "Callers": self.callers},
             "Limits": {"RetryAfter": true, "MaxRetryAfterMs": 500}, "StepMs": 2, "ReplicasOfMe": replicas,
             "Safety": {"TipMultiple": 8, "ColdFrom": 0.5, "RampTimeMs": self.ramp.as_millis() as u64,
                 "StopSendingWithinMs": 400}})
