--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,10 @@
 	target/release/asterrill-lab fleet-return --seed 0 --kind most --nodes 5 --json
 	target/release/asterrill-lab fleet-members --seed 1 --nodes 5 --json
 	target/release/asterrill-lab fleet-agree --seed 1 --nodes 5 --json
+	target/release/asterrill-lab idle-flood --seed 1 --json
+	target/release/asterrill-lab idle-flood --seed 2 --json
+	target/release/asterrill-lab fleet-ready --nodes 30 --json
+	target/release/asterrill-lab fleet-cold --seed 1 --nodes 20 --json
 	target/release/asterrill-lab config-rollback --seed 2 --rate 250 --json
 	target/release/asterrill-lab config-good --seed 1 --rate 250 --json
 	target/release/asterrill-lab config-crash --json
--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -419,7 +419,8 @@
     fn finish(&mut self, core: &Core) {
         for (conn, told) in self.ending.iter_mut().filter(|(_, told)| told.is_none()) {
             let Some(line) = self.lines.get(conn) else { continue };
-            if line.halfway.is_none() && core.owed_on(*conn) == 0 {
+            // Half a frame is waited for, but not where the place is wanted.
+            if (line.crowded || line.halfway.is_none()) && core.owed_on(*conn) == 0 {
                 *told = Some(now());
                 if line.crowded {
                     line.out.finish_soon();
