The next call of an RPC never goes by the link that its last reply came by

Read in daemon/src/below.rs: pick put a resting link behind the one of the last call, and with two links, as a backend with few descriptors has, one that rests or closes left only that. A second copy of the first reply would then have passed for the reply to the second call. The new test fails before: 'not the link that the reply came by'.

--- a/daemon/src/below.rs
+++ b/daemon/src/below.rs
@@ -29,13 +29,13 @@
         Links { links: vec![Link::default(); links], placed: 0 }
     }
 
-    /// The link for a call of an RPC whose last one went by `last`.
+    /// The link for a call of an RPC whose last one went by `last`: never that one again, as a second copy of the
+    /// reply may still come there. None where there is no other just now.
     pub fn pick(&self, last: Option<RouteId>) -> Option<LinkId> {
         let links = self.links.iter().enumerate().map(|(i, link)| (LinkId(i), link));
-        let usable = links.filter(|(_, link)| !link.closing && !link.old);
-        let order = |(id, link): &(LinkId, &Link)| {
-            (link.resting, Some(RouteId(id.0)) == last, link.calls, std::cmp::Reverse(link.last))
-        };
+        let another = |id: &LinkId| Some(RouteId(id.0)) != last;
+        let usable = links.filter(|(id, link)| !link.closing && !link.old && another(id));
+        let order = |(_, link): &(LinkId, &Link)| (link.resting, link.calls, std::cmp::Reverse(link.last));
         usable.min_by_key(order).map(|(id, _)| id)
     }
 
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -702,6 +702,27 @@
     assert_eq!(w.out.answers[&places[0]].0, "ok");
 }
 
+#[test]
+fn the_next_call_of_an_rpc_goes_by_another_link_even_where_that_rests_and_by_none_where_there_is_none() {
+    use crate::below::Links;
+    use asterrill_engine::RouteId;
+    let (mut links, mut out) = (Links::new(2), Out::default());
+    let first = links.pick(None).unwrap();
+    links.placed(first);
+    links.off(first, false, &mut out); // its reply came; a second copy may follow
+    let other = links.pick(Some(RouteId(first.0))).unwrap();
+    assert_ne!(first, other);
+    // The other has broken off: it rests, and takes calls for when it stands again.
+    links.ends(other);
+    links.ended(other);
+    assert_eq!(links.pick(Some(RouteId(first.0))), Some(other), "not the link that the reply came by");
+    links.ready(other);
+    // The other is being closed: there is none for now.
+    links.retire(other, &mut out);
+    assert_eq!(links.pick(Some(RouteId(first.0))), None);
+    assert_eq!(links.pick(None), Some(first), "of other RPCs it takes calls as before");
+}
+
 #[test]
 fn when_the_layer_below_moves_calls_in_hand_end_where_they_are_and_others_go_to_the_new_place() {
     let (mut w, _) = calling(23, 2);
