--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -98,6 +98,8 @@
     serving: Option<bool>,
     idle: Us,
     draining: bool,
+    /// All connections are being closed, those that still come in as well.
+    closing: bool,
     /// The version of the configuration that is in force, for the log.
     version: u64,
     scratch: Vec<u8>,
@@ -149,6 +151,7 @@
             serving: None,
             idle,
             draining: false,
+            closing: false,
             version: 1,
             scratch: Vec::with_capacity(512),
             log: log.clone(),
@@ -242,6 +245,11 @@
         }
         let line = Line { out, since: now(), heard: false, halfway: None, leaving: None, crowded: false };
         inner.ports.lines.insert(conn, line);
+        if inner.ports.closing {
+            inner.ports.close(conn);
+            let Inner { core, ports, .. } = &mut *inner;
+            ports.finish(core);
+        }
         conn
     }
 
@@ -294,7 +302,9 @@
     /// Lets connections go that have carried nothing for as long as was decided, those that stopped in the
     /// middle of a frame or never said anything whole, and the least useful before there is no room left.
     pub fn sweep(&self) {
-        let now = now();
+        self.sweep_at(now());
+    }
+    pub fn sweep_at(&self, now: Us) {
         let mut inner = self.inner();
         let Inner { core, ports, .. } = &mut *inner;
         let (mut stuck, mut mute, mut quiet, mut staying) = (Vec::new(), Vec::new(), Vec::new(), 0_usize);
@@ -379,6 +389,7 @@
         let mut inner = self.inner();
         let Inner { core, ports, .. } = &mut *inner;
         ports.door.close();
+        ports.closing = true;
         let conns: Vec<ConnId> = ports.lines.keys().copied().collect();
         conns.into_iter().for_each(|conn| ports.close(conn));
         ports.finish(core);
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -11,6 +11,8 @@
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod hub;
+
 const MS: Us = 1_000;
 const START: Us = 1_000_000 * MS;
 const SLACK: Us = 100 * MS;
--- /dev/null
+++ b/daemon/src/tests/hub.rs
@@ -0,0 +1,71 @@
+//! The hub with a sidecar's connection on a real socket.
+
+use super::{server, START};
+use crate::core::Core;
+use crate::hub::Hub;
+use crate::parties::Sidecar;
+use crate::wire::ConnId;
+use asterrill_net::{bind, drive, listen, now, one_worker, spawn, Door, Outbox, Pool, Room};
+use asterrill_protocol::frames;
+use std::io::Read;
+use std::net::TcpStream;
+use std::sync::mpsc::channel;
+use std::sync::Arc;
+use std::time::Duration;
+
+const WAIT: Duration = Duration::from_secs(10);
+
+#[test]
+fn who_never_takes_what_it_is_owed_is_cut_off_in_the_end_and_who_does_is_not() {
+    one_worker().unwrap();
+    let pool = Pool::new(500);
+    let made = asterrill_settings::server(START, 1, &server(), None).unwrap();
+    let core = Core::new(START, made, Pool::new(500), 4);
+    let (agent, door) = (Outbox::new(&pool, 1 << 16), Door::default());
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let pools = [pool.clone(), Pool::new(500)];
+    let hub = Arc::new(Hub::new(core, agent, Vec::new(), 8, u64::MAX, pools, door.clone(), log.clone()));
+    let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let at = listener.local_addr().unwrap();
+    let ((come, came), (ends, end)) = (channel(), channel());
+    let of = hub.clone();
+    let took = move |stream, place| {
+        let (hub, out, ends) = (of.clone(), Outbox::new(&of.pool, 192 * 1024), ends.clone());
+        let conn: ConnId = hub.join(out.clone());
+        come.send((conn, out.clone())).unwrap();
+        spawn("sidecar", move || {
+            let mut peer = Sidecar { hub: hub.clone(), conn, frames: frames::Reader::default(), heard: true };
+            drive(&stream, &out, &hub.pool, &mut peer);
+            hub.part(conn, false);
+            drop((stream, place));
+            ends.send(conn).unwrap_or_default();
+        })
+        .unwrap();
+    };
+    spawn("listen", move || listen(listener, &door, Room::new(8), log, || {}, took)).unwrap();
+    // One takes nothing: what it is owed fills the system's buffers, then its outbox. The other takes all.
+    let [slow, mut quick] = [(); 2].map(|()| TcpStream::connect(at).unwrap());
+    let [(slow_conn, out), (quick_conn, other)] = [(); 2].map(|()| came.recv_timeout(WAIT).unwrap());
+    let mut full = 0;
+    while full < 20 {
+        if out.is_empty() {
+            assert!(out.put(&[&[7; 50_000]]));
+            full = 0;
+        } else {
+            full += 1;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(other.put(&[&[7; 50_000]]));
+    quick.set_read_timeout(Some(WAIT)).unwrap();
+    quick.read_exact(&mut [0; 50_000]).unwrap();
+    [slow_conn, quick_conn].into_iter().for_each(|conn| hub.ending(conn, None));
+    assert_eq!(quick.read(&mut [0]).unwrap(), 0, "it ends in order");
+    drop(quick);
+    assert_eq!(end.recv_timeout(WAIT), Ok(quick_conn));
+    hub.sweep_at(now() + 9_000_000);
+    assert!(end.recv_timeout(Duration::from_millis(100)).is_err(), "it still has time");
+    hub.sweep_at(now() + 11_000_000);
+    assert_eq!(end.recv_timeout(WAIT), Ok(slow_conn));
+    drop(slow);
+}
