--- a/daemon/src/tests/hub.rs
+++ b/daemon/src/tests/hub.rs
@@ -7,6 +7,7 @@
 use crate::wire::ConnId;
 use asterrill_net::{bind, drive, listen, now, one_worker, spawn, Door, Outbox, Pool, Room};
 use asterrill_protocol::frames;
+use socket2::{Domain, Socket, Type};
 use std::io::Read;
 use std::net::TcpStream;
 use std::sync::mpsc::channel;
@@ -44,16 +45,18 @@
     };
     spawn("listen", move || listen(listener, &door, Room::new(8), log, || {}, took)).unwrap();
     // One takes nothing: what it is owed fills the system's buffers, then its outbox. The other takes all.
-    let [slow, mut quick] = [(); 2].map(|()| TcpStream::connect(at).unwrap());
+    // Its buffer is as small as can be, so that it fills for good.
+    let small = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    small.set_recv_buffer_size(2_048).unwrap();
+    small.connect(&at.into()).unwrap();
+    let slow: TcpStream = small.into();
+    let mut quick = TcpStream::connect(at).unwrap();
     let [(slow_conn, out), (quick_conn, other)] = [(); 2].map(|()| came.recv_timeout(WAIT).unwrap());
-    let mut full = 0;
-    while full < 20 {
-        if out.is_empty() {
-            assert!(out.put(&[&[7; 50_000]]));
-            full = 0;
-        } else {
-            full += 1;
-        }
+    // Each piece is tried at once: the system tells of room only once there is much of it.
+    let mut waiting = 0;
+    while waiting < 15 {
+        waiting = if out.is_empty() { 0 } else { waiting + 1 };
+        assert!(out.put(&[&[7; 10_000]]));
         std::thread::sleep(Duration::from_millis(5));
     }
     assert!(other.put(&[&[7; 50_000]]));
@@ -65,7 +68,8 @@
     assert_eq!(end.recv_timeout(WAIT), Ok(quick_conn));
     hub.sweep_at(now() + 9_000_000);
     assert!(end.recv_timeout(Duration::from_millis(100)).is_err(), "it still has time");
+    assert!(!out.is_empty(), "it takes nothing");
     hub.sweep_at(now() + 11_000_000);
-    assert_eq!(end.recv_timeout(WAIT), Ok(slow_conn));
+    assert_eq!(end.recv_timeout(Duration::from_millis(300)), Ok(slow_conn));
     drop(slow);
 }
