--- a/daemon/src/hub.rs
+++ b/daemon/src/hub.rs
@@ -124,6 +124,8 @@
     held: Pool,
     /// For connections.
     pub room: Room,
+    /// Of the listening socket.
+    pub door: Door,
     pub log: Logger,
     /// Rings when the clock is wanted earlier than it was set.
     pub clock: Bell,
@@ -135,13 +137,13 @@
 
 impl Hub {
     pub fn new(
-        core: Core, agent: Outbox, below: Vec<Outbox>, room: usize, idle: Us, pools: [Pool; 2], door: Door,
-        log: Logger,
+        core: Core, agent: Outbox, below: Vec<Outbox>, room: usize, idle: Us, pools: [Pool; 2], log: Logger,
     ) -> Hub {
+        let door = Door::default();
         let ports = Ports {
             lines: BTreeMap::new(),
             ending: BTreeMap::new(),
-            door,
+            door: door.clone(),
             agent,
             room,
             told: (0, 0),
@@ -163,6 +165,7 @@
             pool,
             held,
             room: taken,
+            door,
             log,
             clock: Bell::default(),
             naming: Bell::default(),
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -29,7 +29,7 @@
 use crate::wire::{ConnId, LinkId};
 use asterrill::Us;
 use asterrill_conf::{File, Form};
-use asterrill_net::{drive, hold, listen, now, spawn, wait_until, Address, Door, End, Outbox, Pause, Pool};
+use asterrill_net::{drive, hold, listen, now, spawn, wait_until, Address, End, Outbox, Pause, Pool};
 use asterrill_protocol::{agent, frames, records};
 use asterrill_recovery::{phase, Moment};
 use asterrill_rollout::{start_with, Start};
@@ -148,9 +148,9 @@
     let cores = server.cores;
     let core = Core::new(now(), server, held.clone(), below.len());
     let room = room(to.sockets);
-    let (out, links, door) = (agent_out.clone(), below.clone(), Door::default());
+    let (out, links) = (agent_out.clone(), below.clone());
     let pools = [pool.clone(), held];
-    let hub = Arc::new(Hub::new(core, out, links, room, idle, pools, door.clone(), log.clone()));
+    let hub = Arc::new(Hub::new(core, out, links, room, idle, pools, log.clone()));
     if let Some((queues, addresses, pause)) = broker {
         let out = Outbox::new(&pool, LINK);
         hub.take_queues(queues, out.clone());
@@ -242,7 +242,7 @@
         spawn("listener", move || {
             listen(
                 listener,
-                &door,
+                &crowd.door,
                 hub.room.clone(),
                 log,
                 || crowd.crowded(),
--- a/daemon/src/tests/hub.rs
+++ b/daemon/src/tests/hub.rs
@@ -5,7 +5,7 @@
 use crate::hub::Hub;
 use crate::parties::Sidecar;
 use crate::wire::ConnId;
-use asterrill_net::{bind, drive, listen, now, one_worker, spawn, Door, Outbox, Pool, Room};
+use asterrill_net::{bind, drive, listen, now, one_worker, spawn, Outbox, Pool, Room};
 use asterrill_protocol::frames;
 use socket2::{Domain, Socket, Type};
 use std::io::Read;
@@ -22,14 +22,14 @@
     let pool = Pool::new(500);
     let made = asterrill_settings::server(START, 1, &server(), None).unwrap();
     let core = Core::new(START, made, Pool::new(500), 4);
-    let (agent, door) = (Outbox::new(&pool, 1 << 16), Door::default());
+    let agent = Outbox::new(&pool, 1 << 16);
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let pools = [pool.clone(), Pool::new(500)];
-    let hub = Arc::new(Hub::new(core, agent, Vec::new(), 8, u64::MAX, pools, door.clone(), log.clone()));
+    let hub = Arc::new(Hub::new(core, agent, Vec::new(), 8, u64::MAX, pools, log.clone()));
     let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let at = listener.local_addr().unwrap();
     let ((come, came), (ends, end)) = (channel(), channel());
-    let of = hub.clone();
+    let (of, door) = (hub.clone(), hub.door.clone());
     let took = move |stream, place| {
         let (hub, out, ends) = (of.clone(), Outbox::new(&of.pool, 192 * 1024), ends.clone());
         let conn: ConnId = hub.join(out.clone());
