Reads share the result of a run only if they are tries of one RPC

Ruled out: deadlines and ends (nothing late, nothing reset there). At fault: core.rs passed the entity on as the key of a read, so RPCs with other bodies got the result of another's run; the protocol wants what the agent made for this one. Now the key is over method, tenant and body. The test of reads asked with a body of its own each and so held the wrong thing; it asks with one body for the tries of a read now, and wants another body with the same entity run by itself: 'left: 2, right: 3' on the code before.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -537,7 +537,11 @@
         // What the agent may never have heard of is not joined to anything, and nothing to it.
         let shares = self.around.sidecars.proven(place.conn);
         let tokened = server.tokened.get(method.0).copied().unwrap_or(false);
-        let token = tokened.then(|| token(&ask.method, &ask.tenant, body));
+        let known = (tokened || ask.key.is_some() && shares && self.engine.shares(method))
+            .then(|| token(&ask.method, &ask.tenant, body));
+        // An answer carries what a run made for this RPC: of reads with one key, only tries of the same one share.
+        let key = known.and_then(|Token(bytes)| bytes.first_chunk().map(|half| u64::from_be_bytes(*half)));
+        let (token, key) = if tokened { (known, None) } else { (None, key) };
         let at = self.engine.pass(now);
         let read = Read {
             id: ask.id,
@@ -547,7 +551,7 @@
             due: ask.due,
             unread: at.saturating_sub(ask.born.max(self.around.up.unwrap_or(at))),
             size_kb: ask.size_kb,
-            key: ask.key,
+            key,
             shares,
             token,
         };
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -209,14 +209,18 @@
         World { core, out, now: START, asks: BTreeMap::new(), read: 0, next: 0, killed: None, version: 1 }
     }
 
+    /// Tries of one read have one key and one body.
     fn ask(&mut self, conn: u64, method: &str, patience: Us, key: Option<u64>) -> Place {
+        let of = key.map_or_else(|| format!("own {}", self.next), |key| format!("of {key}"));
+        self.ask_with(conn, method, patience, key, format!("body\r\n{of}").into_bytes())
+    }
+    fn ask_with(&mut self, conn: u64, method: &str, patience: Us, key: Option<u64>, body: Vec<u8>) -> Place {
         self.next += 1;
         let id = RpcId::new(&format!("{:016x}", self.next)).unwrap();
         let place = Place { conn: ConnId(conn), stream: StreamId(self.next as u32) };
         let (caller, due) = (CallerId(conn), Some(self.now + patience));
         let (method, tenant) = (method.to_string(), "acme".to_string());
         let ask = Ask { id, method, tenant, caller, born: self.now - 3 * MS, due, size_kb: 20.0, key };
-        let body = format!("body\r\n{}", self.next).into_bytes();
         self.out.bodies.insert(id, body.clone());
         if self.core.rpc_read(self.now, place, ask.clone(), &body, &mut self.out) {
             self.asks.insert(place, (ask, false));
@@ -630,6 +634,9 @@
     w.pass(200 * MS);
     w.ask(1, "look", 900 * MS, Some(9)); // too late for it
     assert_eq!(w.out.runs.len(), 2);
+    // Another RPC about the same: what a run made for one is no answer to the other.
+    w.ask_with(1, "look", 900 * MS, Some(9), b"another".to_vec());
+    assert_eq!(w.out.runs.len(), 3);
 }
 
 #[test]
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -262,13 +262,17 @@
         true
     }
 
+    /// Reads of this method may share the result of one run.
+    pub fn shares(&self, method: MethodId) -> bool {
+        self.terms.fresh > 0 && self.terms.shares.get(method.0).copied().unwrap_or(false)
+    }
+
     /// Tells the module of an RPC that has come, and of the one that it repeats.
     fn offer(&mut self, id: RpcId, out: &mut dyn Outputs<P>) {
         let Some(rpc) = self.open.get_mut(&id) else { return };
         let read = &rpc.read;
-        let shares = read.shares && self.terms.fresh > 0;
-        let shares = shares && self.terms.shares.get(read.method.0).copied().unwrap_or(false);
-        let key = read.key.filter(|_| shares).map(|key| (read.method, key));
+        let shares = self.terms.fresh > 0 && self.terms.shares.get(read.method.0).copied().unwrap_or(false);
+        let key = read.key.filter(|_| read.shares && shares).map(|key| (read.method, key));
         let prior = match (read.token, key) {
             (Some(token), _) => self.tokens.prior(token, rpc.since),
             (None, Some(key)) => self.kept.prior(key, self.now),
