--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -11,7 +11,7 @@
 use crate::wire::{Asker, ConnId, LinkId, Place, Wire};
 use asterrill::{CallEnd, Effect, Final, MethodId, RpcId, RunEnd, Us};
 use asterrill_agree::{caller_key, Gate, Kind};
-use asterrill_engine::{Command, Engine, Outputs, Read, RouteId, Served, Terms, Token};
+use asterrill_engine::{Command, Engine, IdempotencyKey, Outputs, Read, RouteId, Served, Terms};
 use asterrill_net::{Buf, Pool};
 use asterrill_protocol::agent::{self, NoticeId};
 use asterrill_protocol::frames::{Ask, StreamId, STREAMS};
@@ -119,14 +119,14 @@
 /// By what the tries of one tokened RPC are known. The protocol has no field for it, and each try has an id of its own;
 /// what stays the same is the method, the tenant and the body. A client that asks again may come by another sidecar, so
 /// the caller is left out (`docs/program.md`).
-fn token(method: &str, tenant: &str, body: &[u8]) -> Token {
+fn idempotency_key(method: &str, tenant: &str, body: &[u8]) -> IdempotencyKey {
     let mut hash = blake3::Hasher::new();
     for name in [method, tenant] {
         hash.update(&(name.len() as u64).to_be_bytes()).update(name.as_bytes());
     }
     let mut token = [0; 16];
     hash.update(body).finalize_xof().fill(&mut token);
-    Token(token)
+    IdempotencyKey(token)
 }
 
 /// The engine's outputs, carried out by what surrounds it.
@@ -538,9 +538,10 @@
         let shares = self.around.sidecars.proven(place.conn);
         let tokened = server.tokened.get(method.0).copied().unwrap_or(false);
         let known = (tokened || ask.key.is_some() && shares && self.engine.shares(method))
-            .then(|| token(&ask.method, &ask.tenant, body));
+            .then(|| idempotency_key(&ask.method, &ask.tenant, body));
         // An answer carries what a run made for this RPC: of reads with one key, only tries of the same one share.
-        let key = known.and_then(|Token(bytes)| bytes.first_chunk().map(|half| u64::from_be_bytes(*half)));
+        let key =
+            known.and_then(|IdempotencyKey(bytes)| bytes.first_chunk().map(|half| u64::from_be_bytes(*half)));
         let (token, key) = if tokened { (known, None) } else { (None, key) };
         let at = self.engine.pass(now);
         let read = Read {
@@ -553,7 +554,7 @@
             size_kb: ask.size_kb,
             key,
             shares,
-            token,
+            idempotency_key: token,
         };
         self.around.service.read(method);
         let asker = Asker::Sidecar(place);
--- a/daemon/src/queues.rs
+++ b/daemon/src/queues.rs
@@ -309,7 +309,7 @@
             size_kb: offer.size_kb,
             key: None,
             shares: false,
-            token: None,
+            idempotency_key: None,
         }
     }
 
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -1,9 +1,9 @@
 //! The table of open RPCs and what becomes of each. No decision about an RPC is taken here: the module is told
 //! what happened, and what it hands back is carried out list by list.
 
+use crate::idempotency::{IdempotencyKey, IdempotencyKeys};
 use crate::kept::Kept;
 use crate::outputs::{Counts, Outputs, RouteId, Served};
-use crate::tokens::{Token, Tokens};
 use asterrill::{
     Answer, Arrival, CallEnd, CallerId, Care, Control, Experience, Final, Gauges, MethodId, Outcome, RpcId,
     RunEnd, Standing, Us,
@@ -49,7 +49,7 @@
     /// It may be joined to another of its key, and others to it.
     pub shares: bool,
     /// Of a tokened RPC: by what its repeats are known.
-    pub token: Option<Token>,
+    pub idempotency_key: Option<IdempotencyKey>,
 }
 
 /// The last thing that the executor of a run was told.
@@ -111,7 +111,7 @@
     /// Those that wait for another, by that one.
     joined: BTreeSet<(RpcId, RpcId)>,
     kept: Kept<B>,
-    tokens: Tokens,
+    idempotency: IdempotencyKeys,
     wakes: BTreeSet<Us>,
     attended: bool, // gauges can be had
     sampled: bool,  // for the first of the wakes
@@ -128,7 +128,7 @@
 impl<P: Copy + Ord, B: AsRef<[u8]>> Engine<P, B> {
     /// `hold` makes the copy of a body that is held, and hands back none while there is no room for it.
     pub fn new(now: Us, control: Control, terms: Terms, hold: Hold<B>) -> Engine<P, B> {
-        let tokens = Tokens::new(terms.results, terms.longest);
+        let tokens = IdempotencyKeys::new(terms.results, terms.longest);
         Engine {
             control,
             terms,
@@ -138,7 +138,7 @@
             owed: BTreeMap::new(),
             joined: BTreeSet::new(),
             kept: Kept::new(),
-            tokens,
+            idempotency: tokens,
             wakes: BTreeSet::new(),
             attended: false,
             sampled: false,
@@ -184,7 +184,7 @@
         self.carry(outcome, out);
     }
     fn take_terms(&mut self, terms: Terms) {
-        self.tokens.bounds(terms.results, terms.longest);
+        self.idempotency.bounds(terms.results, terms.longest);
         self.terms = terms;
     }
     /// What serving an RPC of a method takes, as learned so far, in microseconds.
@@ -241,8 +241,8 @@
         if self.open.contains_key(&id) || self.owed.contains_key(&place) {
             return false;
         }
-        let known = read.token.is_none_or(|token| self.tokens.prior(token, since).is_some());
-        if !known && self.tokens.full() {
+        let known = read.idempotency_key.is_none_or(|token| self.idempotency.prior(token, since).is_some());
+        if !known && self.idempotency.full() {
             self.counts.tokens_full += 1;
             self.turn_away(now, place, out);
             return true;
@@ -273,12 +273,12 @@
         let read = &rpc.read;
         let shares = self.terms.fresh > 0 && self.terms.shares.get(read.method.0).copied().unwrap_or(false);
         let key = read.key.filter(|_| read.shares && shares).map(|key| (read.method, key));
-        let prior = match (read.token, key) {
-            (Some(token), _) => self.tokens.prior(token, rpc.since),
+        let prior = match (read.idempotency_key, key) {
+            (Some(token), _) => self.idempotency.prior(token, rpc.since),
             (None, Some(key)) => self.kept.prior(key, self.now),
             (None, None) => None,
         };
-        if let (Some(key), None, None) = (key, prior, read.token) {
+        if let (Some(key), None, None) = (key, prior, read.idempotency_key) {
             self.kept.offer(key, id);
         }
         rpc.prior = prior;
@@ -389,7 +389,7 @@
         self.close(id, out);
         let (hold, until) = (&self.hold, self.now + self.terms.fresh);
         self.kept.ended(id, until, || Some(result).filter(|_| ok).and_then(hold));
-        self.counts.results_dropped += self.tokens.ended(id, Some(result).filter(|_| ok));
+        self.counts.results_dropped += self.idempotency.ended(id, Some(result).filter(|_| ok));
         let outcome = self.control.run_ended(self.now, id, end);
         self.carry(outcome, out);
         for next in self.joined_to(id) {
@@ -533,7 +533,7 @@
             }
         }
         self.kept.forget_until(self.now);
-        self.tokens.forget_until(self.now);
+        self.idempotency.forget_until(self.now);
         let Some(wake) = self.wakes.first().copied() else { return };
         if self.attended && !self.sampled && wake <= self.now + LEAD {
             self.sampled = true;
@@ -573,7 +573,7 @@
             Stage::Held => {
                 self.close(id, out);
                 self.kept.forget(id);
-                self.tokens.forget(id);
+                self.idempotency.forget(id);
                 let joined = self.joined_to(id);
                 self.later.extend(joined.into_iter().map(Later::Again));
             }
@@ -604,13 +604,13 @@
         }
         for (id, span) in outcome.keeps {
             self.kept.keep_until(id, self.now + span);
-            if let Some(token) = self.open.get(&id).and_then(|rpc| rpc.read.token) {
-                self.tokens.record(token, id, self.now + span);
+            if let Some(token) = self.open.get(&id).and_then(|rpc| rpc.read.idempotency_key) {
+                self.idempotency.record(token, id, self.now + span);
             }
         }
         for id in outcome.forgets {
             self.kept.forget(id);
-            self.tokens.forget(id);
+            self.idempotency.forget(id);
         }
         for id in outcome.joins {
             self.join(id);
@@ -659,7 +659,7 @@
                 Later::JoinEnds(id) => {
                     let prior = self.open.get(&id).and_then(|r| r.prior);
                     let kept = prior.and_then(|prior| self.kept.result(prior)).map(B::as_ref);
-                    let kept = kept.or_else(|| prior.and_then(|prior| self.tokens.result(prior)));
+                    let kept = kept.or_else(|| prior.and_then(|prior| self.idempotency.result(prior)));
                     let copy = kept.and_then(|result| (self.hold)(result));
                     self.end_join(id, copy.as_ref().map(B::as_ref), out);
                 }
--- a/engine/src/tokens.rs
+++ b/engine/src/idempotency.rs
@@ -11,9 +11,9 @@
 const MOST: usize = 16_384; // tries known at a time, some 200 bytes each without their results
 const EDGE: Us = 100_000; // beyond the window: clocks round to milliseconds, and limits have slack
 
-/// By what a repeat of a tokened RPC is known: the same for all tries of one RPC, and for nothing else.
+/// The idempotency key of a tokened RPC, by which a repeat is known: the same for all tries of one RPC, and for nothing else.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Token(pub [u8; 16]);
+pub struct IdempotencyKey(pub [u8; 16]);
 
 struct Entry {
     id: RpcId,
@@ -24,21 +24,21 @@
 }
 
 /// The table of them, by token, by id, and by when each may be forgotten.
-pub(crate) struct Tokens {
-    of: BTreeMap<Token, Entry>,
-    by_id: BTreeMap<RpcId, Token>,
+pub(crate) struct IdempotencyKeys {
+    of: BTreeMap<IdempotencyKey, Entry>,
+    by_id: BTreeMap<RpcId, IdempotencyKey>,
     /// Those whose runs are over.
-    ends: BTreeSet<(Us, Token)>,
+    ends: BTreeSet<(Us, IdempotencyKey)>,
     bytes: usize, // of results
     most: usize,  // the same, at the most
     linger: Us,
 }
 
-impl Tokens {
+impl IdempotencyKeys {
     /// `most`: bytes of results; `linger`: how long after its arrival an RPC may still be read.
-    pub(crate) fn new(most: usize, linger: Us) -> Tokens {
+    pub(crate) fn new(most: usize, linger: Us) -> IdempotencyKeys {
         let (of, by_id, ends) = (BTreeMap::new(), BTreeMap::new(), BTreeSet::new());
-        Tokens { of, by_id, ends, bytes: 0, most, linger }
+        IdempotencyKeys { of, by_id, ends, bytes: 0, most, linger }
     }
     /// From now on, for what is known already and what comes.
     pub(crate) fn bounds(&mut self, most: usize, linger: Us) {
@@ -47,7 +47,7 @@
     }
 
     /// The try that an RPC with this token repeats, which arrived then.
-    pub(crate) fn prior(&self, token: Token, arrived: Us) -> Option<RpcId> {
+    pub(crate) fn prior(&self, token: IdempotencyKey, arrived: Us) -> Option<RpcId> {
         self.of
             .get(&token)
             .filter(|entry| entry.ends.is_none() || arrived < entry.until)
@@ -59,7 +59,7 @@
     }
 
     /// The try that repeats wait for from now on: it is about to run, and may come again until then.
-    pub(crate) fn record(&mut self, token: Token, id: RpcId, until: Us) {
+    pub(crate) fn record(&mut self, token: IdempotencyKey, id: RpcId, until: Us) {
         self.remove(token);
         self.by_id.insert(id, token);
         self.of.insert(token, Entry { id, until: until + EDGE, ends: None, result: None });
@@ -107,7 +107,7 @@
     }
 
     /// The one place where what is known is given back.
-    fn remove(&mut self, token: Token) {
+    fn remove(&mut self, token: IdempotencyKey) {
         let Some(entry) = self.of.remove(&token) else { return };
         self.by_id.remove(&entry.id);
         if let Some(at) = entry.ends {
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -37,12 +37,12 @@
 //! ```
 
 mod engine;
+mod idempotency;
 mod kept;
 mod outputs;
 #[cfg(test)]
 mod tests;
-mod tokens;
 
 pub use engine::{Command, Engine, Hold, Read, Terms};
+pub use idempotency::IdempotencyKey;
 pub use outputs::{Counts, Outputs, RouteId, Served};
-pub use tokens::Token;
--- a/engine/src/tests.rs
+++ b/engine/src/tests.rs
@@ -1,7 +1,7 @@
 //! The engine with a front and an executor in the same process, as a library embeds it: numbers for places, and
 //! runs that end when the test says so.
 
-use crate::{Command, Engine, Outputs, Read, RouteId, Served, Terms, Token};
+use crate::{Command, Engine, IdempotencyKey, Outputs, Read, RouteId, Served, Terms};
 use asterrill::*;
 use quickcheck::{Gen, QuickCheck};
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,9 +52,9 @@
     over: BTreeSet<RpcId>,
     calls: BTreeMap<RpcId, RouteId>,
     faults: Vec<String>,
-    deaf: bool,                          // calls can't be sent
-    tries: BTreeMap<RpcId, (Token, Us)>, // of tokened RPCs, with their arrivals
-    ran: BTreeMap<Token, (RpcId, Us)>,   // the try that ran last, and its arrival
+    deaf: bool,                                   // calls can't be sent
+    tries: BTreeMap<RpcId, (IdempotencyKey, Us)>, // of tokened RPCs, with their arrivals
+    ran: BTreeMap<IdempotencyKey, (RpcId, Us)>,   // the try that ran last, and its arrival
 }
 
 impl Ledger {
@@ -161,7 +161,7 @@
     }
     /// A try of the RPC with this token, which lay unread for so long.
     fn ask_again(&mut self, method: usize, patience: Us, token: Option<u8>, unread: Us) -> u64 {
-        let token = token.map(|n| Token([n; 16]));
+        let token = token.map(|n| IdempotencyKey([n; 16]));
         let place = self.ledger.asked.len() as u64 + 1;
         let id = RpcId::new(&format!("{place:x}")).unwrap();
         self.ledger.asked.insert(place, id);
@@ -176,7 +176,7 @@
             size_kb: 10.0,
             key: None,
             shares: false,
-            token,
+            idempotency_key: token,
         };
         self.due.insert(place, self.now + patience);
         assert!(self.engine.rpc_read(self.now, place, read, b"body", &mut self.ledger));
@@ -366,7 +366,7 @@
 fn where_no_more_tokens_can_be_known_new_ones_are_pushed_back_and_repeats_are_not() {
     let mut w = World::new(Below::Nothing);
     let token = |n: u32| {
-        Some(Token(
+        Some(IdempotencyKey(
             [[0; 12], [0; 12]].concat()[..12]
                 .iter()
                 .copied()
@@ -386,7 +386,7 @@
         size_kb: 0.01,
         key: None,
         shares: false,
-        token: token(n),
+        idempotency_key: token(n),
     };
     let mut n = 0;
     while w.engine.counts.tokens_full == 0 {
@@ -436,7 +436,7 @@
         size_kb: 1.0,
         key: None,
         shares: false,
-        token: None,
+        idempotency_key: None,
     };
     assert!(!w.engine.rpc_read(0, 77, read(id, 1), b"", &mut w.ledger));
     let other = RpcId::new("other").unwrap();
