--- a/daemon/tests/crossings.rs
+++ b/daemon/tests/crossings.rs
@@ -76,7 +76,8 @@
     while !reports.recv_timeout(WAIT).unwrap().ends_with(r#"{"serving":"no"}"#) {}
     let output = ended(child);
     assert_eq!(output.status.code(), Some(0), "{}", text(&output));
-    for counted in ["rpcs=4 ", "reloads=", "gone=0 "] {
+    assert!(!text(&output).contains(" reloads=0 "), "the file was read again: {}", text(&output));
+    for counted in ["rpcs=4 ", "reloads_failed=0 ", "gone=0 "] {
         assert!(text(&output).contains(counted), "{counted} {}", text(&output));
     }
 }
