Membership: a look at the view costs what has changed, not what there is

At each datagram and tick a member built three sets of all names anew, went over all that were agreed on, and at each tick over all that foca has; with 160 members that was nearly all of its CPU. The quorum and the lease now hear by name who came or went, times that no newcomer can have reached yet are not looked through, and only those are looked at that may be under suspicion. Names are shared instead of copied.

--- a/membership/src/id.rs
+++ b/membership/src/id.rs
@@ -2,15 +2,40 @@
 
 use asterrill::Us;
 use foca::Identity;
-use serde::{Deserialize, Serialize};
+use serde::de::{self, Deserializer, Visitor};
+use serde::{Deserialize, Serialize, Serializer};
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 const NAME: usize = 64; // bytes of a name
 
-/// A member's name: up to 64 bytes without control characters.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
-pub struct Name(String);
+/// A member's name: up to 64 bytes without control characters. Shared by all that hold it: a fleet of so many is known by
+/// name in a dozen places of each member.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct Name(Arc<str>);
+
+impl Serialize for Name {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Name {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Name, D::Error> {
+        struct Text;
+        impl Visitor<'_> for Text {
+            type Value = Name;
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("a name")
+            }
+            fn visit_str<E: de::Error>(self, text: &str) -> Result<Name, E> {
+                Ok(Name(text.into()))
+            }
+        }
+        from.deserialize_str(Text)
+    }
+}
 
 impl Name {
     /// None if it is empty, too long, or holds a control character.
--- a/membership/src/lease.rs
+++ b/membership/src/lease.rs
@@ -80,11 +80,26 @@
     pub fn look(
         &mut self, now: Us, view: View, agreed: &BTreeSet<Name>, there: &BTreeSet<Name>, size: usize,
     ) -> bool {
-        let before = self.part;
         self.lost.retain(|name, _| agreed.contains(name) && !there.contains(name));
         for name in agreed.iter().filter(|name| !there.contains(*name)) {
-            self.lost.entry(name.clone()).or_insert(now);
+            self.missing(now, name, true);
+        }
+        self.pass(now, view, size)
+    }
+
+    /// One name's part of a look: whether it is agreed on and not there. Whoever looks by names calls it for each of
+    /// which that may have changed, and then [`Lease::pass`]: the same as a look over all.
+    pub(crate) fn missing(&mut self, now: Us, name: &Name, missing: bool) {
+        if !missing {
+            self.lost.remove(name);
+        } else if !self.lost.contains_key(name) {
+            self.lost.insert(name.clone(), now);
         }
+    }
+
+    /// The part, by who is missing; true if it has changed.
+    pub(crate) fn pass(&mut self, now: Us, view: View, size: usize) -> bool {
+        let before = self.part;
         let wait = self.terms.wait();
         if !view.leads() {
             (self.leads, self.parted, self.part) = (None, true, 0.0);
--- a/membership/src/members.rs
+++ b/membership/src/members.rs
@@ -189,6 +189,12 @@
     timers: BTreeMap<(Us, u64), Timer<Id>>,
     timer: u64,
     known: BTreeMap<Name, Known>,
+    /// Members that may be there or not since the last look: a look costs what has changed, not what there is.
+    changed: BTreeSet<Name>,
+    /// Members that `foca` may suspect, and those that count as suspected here.
+    doubtful: BTreeSet<Name>,
+    /// Members that are damped.
+    flapping: BTreeSet<Name>,
     /// Of senders, by number, their names.
     senders: BTreeMap<u64, Name>,
     rates: BTreeMap<SocketAddr, (f64, Us)>,
@@ -260,6 +266,9 @@
             timers: BTreeMap::new(),
             timer: 0,
             known: BTreeMap::new(),
+            changed: BTreeSet::new(),
+            doubtful: BTreeSet::new(),
+            flapping: BTreeSet::new(),
             senders: BTreeMap::new(),
             rates: BTreeMap::new(),
             contacts,
@@ -340,10 +349,12 @@
         self.known.values().filter(on).map(|k| k.id.name.clone()).collect()
     }
 
-    /// The same with those that flap: they do not count for the view, but what they hold is theirs.
-    fn present(&self) -> BTreeSet<Name> {
-        let on = |k: &&Known| matches!(k.standing, Standing::Alive | Standing::Suspect);
-        self.known.values().filter(on).map(|k| k.id.name.clone()).collect()
+    /// Whether one is there, and whether it is with those that flap: they do not count for the view, but what they hold
+    /// is theirs.
+    fn stands(&self, name: &Name) -> (bool, bool) {
+        let known = self.known.get(name);
+        let known = known.filter(|k| matches!(k.standing, Standing::Alive | Standing::Suspect));
+        (known.is_some_and(|k| !k.damped), known.is_some())
     }
 
     fn tell(&mut self, event: Event) {
@@ -414,21 +425,21 @@
     }
 
     /// Reads a datagram of `foca` ahead: who sent it, and whether all that stands in it may be taken in.
-    fn ahead(&self, mut bytes: &[u8]) -> Option<(Header<Id>, Vec<Id>)> {
+    fn ahead(&self, mut bytes: &[u8]) -> Option<(Header<Id>, Vec<foca::Member<Id>>)> {
         let header: Header<Id> = PostcardCodec.decode_header(&mut bytes).ok()?;
-        let mut ids = Vec::new();
+        let mut told = Vec::new();
         if bytes.remaining() >= 2 {
             for _ in 0..bytes.get_u16() {
                 let member: foca::Member<Id> = PostcardCodec.decode_member(&mut bytes).ok()?;
-                ids.push(member.id().clone());
+                told.push(member);
             }
         }
-        let fine = header.src.fits() && ids.iter().all(Id::fits) && bytes.is_empty();
-        fine.then_some((header, ids))
+        let fine = header.src.fits() && told.iter().all(|m| m.id().fits()) && bytes.is_empty();
+        fine.then_some((header, told))
     }
 
     fn swim(&mut self, sender: u64, start: u64, bytes: &[u8]) {
-        let Some((header, ids)) = self.ahead(bytes) else {
+        let Some((header, told)) = self.ahead(bytes) else {
             self.counts.odd += 1;
             return;
         };
@@ -437,21 +448,25 @@
             self.counts.odd += 1;
             return;
         }
-        let twin = std::iter::once(&header.src).chain(&ids).find(|id| self.is_twin(id)).cloned();
+        let all = || std::iter::once(&header.src).chain(told.iter().map(foca::Member::id));
+        let twin = all().find(|id| self.is_twin(id)).cloned();
         if let Some(twin) = twin {
             if self.meets(&twin) {
                 return;
             }
         }
-        let fresh =
-            std::iter::once(&header.src).chain(&ids).filter(|id| !self.known.contains_key(&id.name)).count();
+        let fresh = all().filter(|id| !self.known.contains_key(&id.name)).count();
         if self.foca.iter_membership_state().len() + fresh > MOST {
             self.counts.full += 1;
             return;
         }
         self.counts.taken += 1;
         let name = header.src.name.clone();
-        self.senders.insert(sender, name.clone());
+        if self.senders.get(&sender) != Some(&name) {
+            self.senders.insert(sender, name.clone());
+        }
+        let suspected = told.iter().filter(|m| m.state() == State::Suspect);
+        self.doubtful.extend(suspected.map(|m| m.id().name.clone()));
         let mut todo = Todo::default();
         if self.foca.handle_data(bytes, &mut todo).is_err() {
             self.counts.odd += 1;
@@ -545,6 +560,7 @@
         self.counts.taken += 1;
         if known.standing != Standing::Left {
             (known.standing, known.since, known.why) = (Standing::Left, self.now, "it said so");
+            self.changed.insert(name.clone());
             let down = foca::Member::down(known.id.clone());
             self.quorum.left(&name);
             self.tell(Event::Left { name });
@@ -595,6 +611,9 @@
             self.send(to.at, &[&[SWIM], &data[..]].concat());
         }
         for (timer, after) in todo.after {
+            if let Timer::ChangeSuspectToDown { member_id, .. } = &timer {
+                self.doubtful.insert(member_id.name.clone());
+            }
             if self.timers.len() < TIMERS {
                 self.timer += 1;
                 self.timers.insert((self.now + after, self.timer), timer);
@@ -619,6 +638,7 @@
         if id.name == self.own.name || !id.name.fits() {
             return;
         }
+        self.changed.insert(id.name.clone());
         let (now, calm) = (self.now, self.terms.calm.max(1) as f64);
         let fresh = Known {
             id: id.clone(),
@@ -644,6 +664,7 @@
                 *known = Known { flaps, damped: flapping || flaps >= FLAPS, heard: known.heard, ..fresh };
                 if known.damped && !flapping {
                     let name = id.name.clone();
+                    self.flapping.insert(name.clone());
                     self.tell(Event::Flaps { name });
                 }
             }
@@ -660,6 +681,7 @@
         (known.standing, known.since, known.why) =
             (Standing::Failed, self.now, "it did not answer, nor for others");
         let name = id.name.clone();
+        self.changed.insert(name.clone());
         self.tell(Event::Failed { name });
     }
 
@@ -713,13 +735,17 @@
     fn greet_some(&mut self) {
         let swing = 0.75 + 0.5 * self.chance.random::<f64>();
         self.greet = self.now + (self.terms.greet as f64 * swing) as Us;
+        // No two that `foca` has are at one address.
+        let count = self.foca.num_members();
+        if count > 0 && count + 1 >= self.quorum.size() {
+            return;
+        }
         let there: BTreeSet<SocketAddr> = self.foca.iter_members().map(|m| m.id().at).collect();
-        let missing = there.len() + 1 < self.quorum.size() || there.is_empty();
         let known =
             self.known.values().filter(|k| k.standing != Standing::Left && !k.id.at.ip().is_unspecified());
         let all = self.contacts.iter().copied().chain(known.map(|k| k.id.at));
         let away: BTreeSet<SocketAddr> = all.filter(|at| !there.contains(at) && *at != self.own.at).collect();
-        if !missing || away.is_empty() {
+        if away.is_empty() {
             return;
         }
         let away: Vec<SocketAddr> = away.into_iter().collect();
@@ -733,9 +759,39 @@
 
     /// Takes down whom `foca` suspects, which it does not tell.
     fn suspects(&mut self) {
-        let seen: Vec<(Name, u64, State)> =
-            self.foca.iter_members().map(|m| (m.id().name.clone(), m.id().start, m.state())).collect();
+        if !self.doubtful.is_empty() {
+            self.look_at_doubtful();
+        }
+        if !self.flapping.is_empty() {
+            self.look_at_flapping();
+        }
+        if self.known.len() > MOST {
+            // The ones that have been gone for longest go.
+            let gone =
+                self.known.values().filter(|k| matches!(k.standing, Standing::Failed | Standing::Left));
+            let oldest = gone.min_by_key(|k| k.since).map(|k| k.id.name.clone());
+            if let Some(name) = oldest {
+                self.known.remove(&name);
+                self.flapping.remove(&name);
+                self.changed.insert(name);
+            }
+        }
+    }
+
+    /// Only those that its own probes or others' words may have brought under suspicion, and those that are under it.
+    fn look_at_doubtful(&mut self) {
+        let doubtful = |m: &&foca::Member<Id>| self.doubtful.contains(&m.id().name);
+        let seen: Vec<(Name, u64, State)> = self
+            .foca
+            .iter_members()
+            .filter(doubtful)
+            .map(|m| (m.id().name.clone(), m.id().start, m.state()))
+            .collect();
+        let mut still = BTreeSet::new();
         for (name, start, state) in seen {
+            if state == State::Suspect {
+                still.insert(name.clone());
+            }
             let Some(known) = self.known.get_mut(&name).filter(|k| k.id.start == start) else { continue };
             match (known.standing, state) {
                 (Standing::Alive, State::Suspect) => {
@@ -750,24 +806,26 @@
                 _ => {}
             }
         }
+        let known = &self.known;
+        let suspect = |name: &Name| known.get(name).is_some_and(|k| k.standing == Standing::Suspect);
+        self.doubtful.retain(|name| still.contains(name) || suspect(name));
+    }
+
+    fn look_at_flapping(&mut self) {
         let (now, calm) = (self.now, self.terms.calm.max(1) as f64);
         let mut calmed = Vec::new();
-        for known in self.known.values_mut().filter(|k| k.damped && k.id.name != self.own.name) {
+        for name in &self.flapping {
+            let Some(known) = self.known.get_mut(name) else { continue };
             let flaps = known.flaps * (-((now - known.flapped) as f64) / calm).exp();
             if flaps < FLAPS / 2.0 {
                 known.damped = false;
-                calmed.push(known.id.name.clone());
+                calmed.push(name.clone());
             }
         }
-        calmed.into_iter().for_each(|name| self.tell(Event::Calm { name }));
-        if self.known.len() > MOST {
-            // The ones that have been gone for longest go.
-            let gone =
-                self.known.values().filter(|k| matches!(k.standing, Standing::Failed | Standing::Left));
-            let oldest = gone.min_by_key(|k| k.since).map(|k| k.id.name.clone());
-            if let Some(name) = oldest {
-                self.known.remove(&name);
-            }
+        for name in calmed {
+            self.flapping.remove(&name);
+            self.changed.insert(name.clone());
+            self.tell(Event::Calm { name });
         }
     }
 
@@ -776,9 +834,13 @@
         if self.displaced {
             return;
         }
-        let (there, before) = (self.there(), self.part());
-        if self.quorum.look(self.now, &there) {
-            let (view, evidence) = (self.quorum.view(), self.quorum.evidence(&there));
+        let before = self.part();
+        let mut moved = std::mem::take(&mut self.changed);
+        for name in &moved {
+            self.quorum.is_there(name, self.stands(name).0);
+        }
+        if self.quorum.pass(self.now) {
+            let (view, evidence) = (self.quorum.view(), self.evidence());
             self.tell(Event::View { view, evidence });
         }
         let size = self.quorum.size();
@@ -786,15 +848,21 @@
             // What is probed and suspected now goes on as it is; the next is waited for as long as so many need.
             self.sized = size;
             self.foca.set_config(settings_of(&self.terms, size)).unwrap_or_default();
+            self.lease.change(lease::Terms::of(self.terms.probe, self.terms.suspicion, size));
         }
-        self.lease.change(lease::Terms::of(self.terms.probe, self.terms.suspicion, size));
-        let others: BTreeSet<Name> =
-            self.quorum.agreed().iter().filter(|name| **name != self.own.name).cloned().collect();
-        let present = self.present();
-        self.lease.look(self.now, self.quorum.view(), &others, &present, size);
+        moved.append(&mut self.quorum.take_moved());
+        for name in &moved {
+            let agreed = *name != self.own.name && self.quorum.agreed().contains(name);
+            self.lease.missing(self.now, name, agreed && !self.stands(name).1);
+        }
+        self.lease.pass(self.now, self.quorum.view(), size);
         if self.part() != before {
             let of_1000 = (self.part() * 1_000.0).round() as u32;
             self.tell(Event::Part { of_1000 });
         }
     }
 }
+
+#[cfg(test)]
+#[path = "tests/members.rs"]
+mod tests;
--- a/membership/src/tests.rs
+++ b/membership/src/tests.rs
@@ -8,6 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+mod recomputed;
+
 const MS: Us = 1_000;
 const S: Us = 1_000 * MS;
 const START: Us = 1_000 * S;
@@ -52,6 +54,8 @@
     failed: Vec<(Us, usize, Name)>,
     /// The greatest sum of parts, and since when it has been over one.
     most: f64,
+    /// Beside members, where that is wanted: what whole sets would say.
+    shadows: Vec<Option<recomputed::Shadow>>,
 }
 
 impl Net {
@@ -75,6 +79,7 @@
             trace: 0,
             failed: Vec::new(),
             most: 0.0,
+            shadows: Vec::new(),
         }
     }
     fn split(&mut self, sides: &[&[usize]]) {
@@ -97,6 +102,9 @@
     fn post(&mut self, n: usize) {
         let Some(member) = &mut self.of[n] else { return };
         let (out, events) = (member.take_out(), member.take_events());
+        if let Some(Some(shadow)) = self.shadows.get_mut(n) {
+            shadow.look(self.now, member, &events);
+        }
         for event in events {
             self.trace = self.trace.wrapping_mul(31).wrapping_add(self.now).wrapping_add(n as u64);
             if let Event::Failed { name } = event {
@@ -167,6 +175,7 @@
     fn tick(&mut self, n: usize) {
         if let Some(member) = &mut self.of[n] {
             member.tick(self.now);
+            assert!(self.shadows.is_empty() || member.is_out() || member.suspects_are_told(), "{n}");
             self.post(n);
         }
     }
