Lab: scale-members, the members of a fleet of 510 in memory on virtual time

The real state machines with a driver that looks only at what is due next, so that 510 of them end within minutes: time until all know all, until a death is found, until what was lost is taken; CPU, datagrams, bytes and memory of each; in calm, with restarts, with a zone away and back, with the two halves cut, with losses.

--- a/lab/src/fleet/members.rs
+++ b/lab/src/fleet/members.rs
@@ -18,11 +18,11 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-const PROBE: u64 = 150; // ms, as in the operator's file below
-const SUSPICION: u64 = 900;
-const GREET: u64 = 500;
-const SETTLE: u64 = 1_000;
-const SECTIONS: &str = "[changes]\ncontrol {dir}/control\nstate {dir}/state\n";
+pub const PROBE: u64 = 150; // ms, as in the operator's file below
+pub const SUSPICION: u64 = 900;
+pub const GREET: u64 = 500;
+pub const SETTLE: u64 = 1_000;
+pub const SECTIONS: &str = "[changes]\ncontrol {dir}/control\nstate {dir}/state\n";
 pub const FILE: &str =
     "[changes]\ncontrol {dir}/control\nstate {dir}/state\n[members]\ncluster lab\nlisten {own}\n\
     advertise {relay}\nkey-file {password}\n{contacts}probe 150ms\nsuspicion 900ms\ngreet 500ms\nsettle 1s\n";
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,9 +8,10 @@
 mod fleet;
 mod load;
 mod report;
+mod scale;
 mod world;
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use report::{Fault, Report};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -38,9 +39,10 @@
     /// Processes, in scenarios of a fleet
     #[arg(long, global = true, default_value_t = 12)]
     nodes: usize,
-    /// What happens to the fleet, instead of what the seed draws
-    #[arg(long, global = true, value_enum)]
-    kind: Option<fleet::returns::Kind>,
+    /// What happens to the fleet, instead of what the seed draws: fleet-return has all, most, rolling, state-lost,
+    /// below-lost and odd; scale-members has calm, quiet, restarts, zone and cut
+    #[arg(long, global = true)]
+    kind: Option<String>,
     /// Faults written by hand, one a line (lab/src/fleet/script.rs)
     #[arg(long, global = true)]
     script: Option<std::path::PathBuf>,
@@ -50,6 +52,22 @@
     /// Messages, in scenarios that count them
     #[arg(long, global = true)]
     messages: Option<u64>,
+    /// Of 1, the datagrams that get lost, in scale-members
+    #[arg(long, global = true, default_value_t = 0.0)]
+    loss: f64,
+    /// The small form for CI: counts and bytes, which are the same each time
+    #[arg(long, global = true)]
+    quick: bool,
+    /// So many real processes beside as many in memory, in scale-members
+    #[arg(long, global = true)]
+    real: Option<usize>,
+}
+
+impl Arguments {
+    fn kind<K: ValueEnum>(&self) -> Result<Option<K>, String> {
+        let kind = self.kind.as_deref().map(|kind| K::from_str(kind, false));
+        kind.transpose().map_err(|why| format!("--kind: {why}"))
+    }
 }
 
 #[derive(Subcommand, Clone, Copy, Debug)]
@@ -94,6 +112,8 @@
     MembersCpu,
     /// CPU of a framed RPC, this build and another in turns
     FramedCpu,
+    /// Members in memory on virtual time, at the fleet's size
+    ScaleMembers,
 }
 
 impl Scenario {
@@ -107,6 +127,7 @@
             Scenario::AmqpRate => "amqp-rate",
             Scenario::AmqpLost => "amqp-lost",
             Scenario::FramedCpu => "framed-cpu",
+            Scenario::ScaleMembers => "scale-members",
             Scenario::FleetReturn => "fleet-return",
             Scenario::FleetMembers => "fleet-members",
             Scenario::FleetAgree => "fleet-agree",
@@ -143,7 +164,7 @@
                 let (script, plot, other) = (to.script.clone(), to.plot.clone(), to.other.clone());
                 let terms = fleet::returns::Terms {
                     seed: to.seed,
-                    kind: to.kind,
+                    kind: to.kind()?,
                     nodes: to.nodes.clamp(3, 40),
                     script,
                     plot,
@@ -162,6 +183,9 @@
             Scenario::MembersCpu => {
                 fleet::members::cpu(report, to.seed, to.nodes.clamp(3, 40), span(4), to.rate)
             }
+            Scenario::ScaleMembers => {
+                scale::members::scenario(report, &scale::members::Terms::of(to, to.kind()?))
+            }
             Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), to.rate, to.other.as_deref()),
         }
     }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -15,6 +15,10 @@
     pub fn set(&mut self, name: &str, value: Value) {
         self.figures.insert(name.into(), value);
     }
+    /// A figure as it was set; none if it is not there or not a number.
+    pub fn figure(&self, name: &str) -> Option<f64> {
+        self.figures.get(name)?.as_f64()
+    }
     /// A rule, named by what is said when it does not hold.
     pub fn rule(&mut self, broken: &str, holds: bool) {
         if !holds && !self.broken.iter().any(|known| known == broken) {
--- /dev/null
+++ b/lab/src/scale/members_real.rs
@@ -0,0 +1,159 @@
+//! Real processes beside members in memory, with the same intervals: how hollow those are. Each process has the agent and
+//! the relays that the rig gives it; datagrams go over relays, which are in this process and cost it, not them.
+
+use super::members::{play, resident_kb, round, Kind, Terms};
+use crate::amqp::{LOOK, PRICE};
+use crate::fleet::members::{ask, setup, FILE, GREET, PROBE, SECTIONS, SETTLE, SUSPICION};
+use crate::fleet::returns::{ms, COLD};
+use crate::fleet::{Fleet, Plan};
+use crate::report::{Fault, Report};
+use crate::world::{Method, Setup};
+use asterrill_membership::{LeaseTerms, Terms as Intervals};
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+const MOST: usize = 40; // processes
+const CALM: Duration = ms(15_000);
+const DEATHS: usize = 3;
+const LOOKS: Duration = ms(20); // between rounds of asking
+
+/// The same intervals as in the processes' file.
+fn intervals(expect: usize) -> Intervals {
+    let us = |ms: u64| ms * 1_000;
+    Intervals {
+        probe: us(PROBE),
+        suspicion: us(SUSPICION),
+        greet: us(GREET),
+        settle: us(SETTLE),
+        forget: us(3_600_000),
+        calm: us(60_000),
+        expect,
+    }
+}
+
+/// What one process says of the others.
+struct Told {
+    alive: usize,
+    failed: BTreeSet<String>,
+    sent: u64,
+    bytes: u64,
+}
+
+fn told(fleet: &Fleet, n: usize) -> Option<Told> {
+    let told = ask(&fleet.members.get(n)?.node.dir, &json!({"v": 1, "do": "members"}))?;
+    let members = told["members"].as_array()?;
+    let failed = members.iter().filter(|m| m["standing"] == json!("failed"));
+    Some(Told {
+        alive: members.iter().filter(|m| m["standing"] == json!("alive")).count(),
+        failed: failed.filter_map(|m| m["name"].as_str().map(String::from)).collect(),
+        sent: told["counters"]["sent"].as_u64()?,
+        bytes: told["counters"]["sent_bytes"].as_u64()?,
+    })
+}
+
+/// Asks those until each has said so, at most so long; how long after the moment each did, in ms.
+fn until(
+    fleet: &Fleet, since: Instant, most: Duration, whom: &[usize], so: impl Fn(&Told) -> bool,
+) -> Vec<u64> {
+    let (mut open, mut took) = (whom.to_vec(), Vec::new());
+    while !open.is_empty() && since.elapsed() < most {
+        open.retain(|n| {
+            let said = told(fleet, *n).is_some_and(|told| so(&told));
+            if said {
+                took.push(since.elapsed().as_millis() as u64);
+            }
+            !said
+        });
+        std::thread::sleep(LOOKS);
+    }
+    took.sort_unstable();
+    took
+}
+
+fn start(file: String, nodes: usize, seed: u64) -> Result<Fleet, Fault> {
+    let quick = [PRICE, LOOK].map(|method| Method { work: ms(0), ..method });
+    let setup = Setup { file: Some(file), shared: None, ..setup(&quick, nodes) };
+    Fleet::start(&Plan { nodes, setup, cold: COLD, slots: 1_000, call: ms(0), mesh: Some(seed) })
+}
+
+/// CPU in ms a second and resident KB of each over a time in which nothing happens; datagrams and bytes a second too.
+fn calm(fleet: &Fleet) -> [f64; 4] {
+    let all = |of: &dyn Fn(usize) -> f64| (0..fleet.members.len()).map(of).sum::<f64>();
+    let counts = |n: usize| told(fleet, n).map_or((0, 0), |told| (told.sent, told.bytes));
+    let cpu = || all(&|n| fleet.members[n].node.cpu_us() as f64 / 1e3);
+    let before: Vec<(u64, u64)> = (0..fleet.members.len()).map(counts).collect();
+    let (used, since) = (cpu(), Instant::now());
+    std::thread::sleep(CALM);
+    let (used, span) = (cpu() - used, since.elapsed().as_secs_f64());
+    let after: Vec<(u64, u64)> = (0..fleet.members.len()).map(counts).collect();
+    let spent = |of: &dyn Fn(&(u64, u64)) -> u64| {
+        let sum = |all: &[(u64, u64)]| all.iter().map(of).sum::<u64>();
+        sum(&after).saturating_sub(sum(&before)) as f64
+    };
+    let memory = all(&|n| resident_kb(&fleet.members[n].node.child.id().to_string()));
+    let each = fleet.members.len().max(1) as f64;
+    [used / span, memory, spent(&|c| c.0) / span, spent(&|c| c.1) / span].map(|figure| round(figure / each))
+}
+
+/// The scenario.
+pub fn scenario(report: &mut Report, seed: u64, nodes: usize) -> Result<(), Fault> {
+    let nodes = nodes.clamp(4, MOST);
+    let mut hollow = Report::default();
+    let terms = Terms { nodes, seed, kind: Kind::Quiet, loss: 0.0, quick: false, real: None };
+    play(&mut hollow, &terms, intervals(nodes));
+    hollow.broken().iter().for_each(|rule| report.rule(rule, false));
+
+    let mut off = start(SECTIONS.into(), nodes, seed)?;
+    std::thread::sleep(ms(3_000));
+    let [cpu_off, memory_off, ..] = calm(&off);
+    let mut left = off.end();
+    drop(off);
+
+    let mut fleet = start(format!("{FILE}expect {nodes}\n"), nodes, seed)?;
+    let begun = fleet.members.iter().map(|m| m.since).max().unwrap_or(fleet.start);
+    let mut all: Vec<usize> = (0..nodes).collect();
+    let found = until(&fleet, begun, ms(60_000), &all, |told| told.alive + 1 >= nodes);
+    std::thread::sleep(ms(3_000));
+    let [cpu, memory, datagrams, bytes] = calm(&fleet);
+    let notice = LeaseTerms::of(PROBE * 1_000, SUSPICION * 1_000, nodes).notice / 1_000;
+    let mut took = Vec::new();
+    for death in 0..DEATHS.min(nodes - 2) {
+        let n = nodes / 2 + death;
+        all.retain(|other| *other != n);
+        let since = Instant::now();
+        fleet.members[n].node.kill();
+        let name = format!("n{n}");
+        let one = until(&fleet, since, ms(2 * notice), &all, |told| told.failed.contains(&name));
+        report.rule("a loss was not found by all", one.len() == all.len());
+        took.extend(one);
+    }
+    took.sort_unstable();
+    left += fleet.end();
+    let figure = |name: &str| hollow.figure(name).unwrap_or(0.0);
+    let beside = |real: Value, name: &str| json!({"real": real, "hollow": figure(name)});
+    for (name, value) in [
+        ("found_ms", beside(json!(found.last()), "found_ms")),
+        ("detect_ms_p50", beside(json!(took.get(took.len() / 2)), "detect_ms_p50")),
+        ("detect_ms_max", beside(json!(took.last()), "detect_ms_max")),
+        ("datagrams_per_s", beside(json!(datagrams), "datagrams_per_s")),
+        ("bytes_per_s", beside(json!(bytes), "bytes_per_s")),
+        ("cpu_ms_per_s", beside(json!(round(cpu - cpu_off)), "cpu_ms_per_s")),
+        ("memory_kb", beside(json!(round(memory - memory_off)), "memory_kb")),
+        ("cpu_ms_per_s_of_the_process", json!({"members": cpu, "off": cpu_off})),
+        ("memory_kb_of_the_process", json!({"members": memory, "off": memory_off})),
+        ("notice_ms", json!(notice)),
+        ("nodes", json!(nodes)),
+        ("load", json!(std::fs::read_to_string("/proc/loadavg").unwrap_or_default().trim())),
+        ("left_processes", json!(left)),
+    ] {
+        report.set(name, value);
+    }
+    report.rule("they did not find each other", found.len() == nodes);
+    report.rule(
+        "a loss was found later than is promised",
+        took.last().is_none_or(|last| *last <= notice + 500),
+    );
+    report.rule("a process was left behind", left == 0);
+    Ok(())
+}
--- /dev/null
+++ b/lab/src/scale/tests/members.rs
@@ -0,0 +1,35 @@
+//! Tests of `members.rs`.
+
+use super::*;
+
+fn quick(seed: u64, kind: Kind) -> Report {
+    let mut report = Report::default();
+    let terms = Terms { nodes: 10, seed, kind, loss: 0.0, quick: true, real: None };
+    play(&mut report, &terms, intervals(10));
+    report
+}
+
+#[test]
+fn the_small_form_gives_the_same_counts_each_time_and_others_with_another_seed() {
+    let run = |seed| quick(seed, Kind::Quiet).json("scale-members", 0);
+    let (one, again, other) = (run(1), run(1), run(2));
+    assert_eq!(one, again);
+    assert_ne!(one["trace"], other["trace"]);
+    assert!(one.get("cpu_ms_per_s").is_none() && one.get("memory_kb").is_none(), "{one}");
+    assert!(one["datagrams"].as_u64() > Some(1_000) && one["bytes_per_s"].as_f64() > Some(500.0), "{one}");
+}
+
+#[test]
+fn of_each_kind_no_rule_is_broken_and_what_happened_is_told() {
+    for (kind, field) in [
+        (Kind::Calm, "found_ms"),
+        (Kind::Quiet, "transition_first_ms"),
+        (Kind::Restarts, "back_ms_max"),
+        (Kind::Zone, "whole_ms"),
+        (Kind::Cut, "all_taken_ms"),
+    ] {
+        let report = quick(3, kind);
+        assert!(report.broken().is_empty(), "{kind:?}: {:?}", report.broken());
+        assert!(report.figure(field).is_some_and(|ms| ms > 0.0), "{kind:?}: {field}");
+    }
+}
