Lab: scale-members beside 40 real processes, counted to the end on a busy machine

On a machine with a load of 44 some processes did not answer for their counts in time and counted as nothing sent; they are asked again now, their own memory is what is not shared with files, and their pauses are told.

--- a/lab/src/scale/members.rs
+++ b/lab/src/scale/members.rs
@@ -87,8 +87,12 @@
 }
 /// Resident memory of a process, in KB.
 pub fn resident_kb(process: &str) -> f64 {
+    memory_kb(process, "VmRSS:")
+}
+/// The same by the name of its line: `RssAnon:` is what is not shared with a file.
+pub fn memory_kb(process: &str, name: &str) -> f64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let line = status.lines().find_map(|line| line.strip_prefix(name));
     line.and_then(|rest| rest.split_whitespace().next()?.parse().ok()).unwrap_or(0.0)
 }
 
--- a/lab/src/scale/members_real.rs
+++ b/lab/src/scale/members_real.rs
@@ -1,7 +1,7 @@
 //! Real processes beside members in memory, with the same intervals: how hollow those are. Each process has the agent and
 //! the relays that the rig gives it; datagrams go over relays, which are in this process and cost it, not them.
 
-use super::members::{play, resident_kb, round, Kind, Terms};
+use super::members::{memory_kb, play, round, Kind, Terms};
 use crate::amqp::{LOOK, PRICE};
 use crate::fleet::members::{ask, setup, FILE, GREET, PROBE, SECTIONS, SETTLE, SUSPICION};
 use crate::fleet::returns::{ms, COLD};
@@ -16,6 +16,7 @@
 const MOST: usize = 40; // processes
 const CALM: Duration = ms(15_000);
 const DEATHS: usize = 3;
+const ASKED: usize = 20; // times at the most
 const LOOKS: Duration = ms(20); // between rounds of asking
 
 /// The same intervals as in the processes' file.
@@ -38,6 +39,7 @@
     failed: BTreeSet<String>,
     sent: u64,
     bytes: u64,
+    pauses: u64,
 }
 
 fn told(fleet: &Fleet, n: usize) -> Option<Told> {
@@ -49,9 +51,16 @@
         failed: failed.filter_map(|m| m["name"].as_str().map(String::from)).collect(),
         sent: told["counters"]["sent"].as_u64()?,
         bytes: told["counters"]["sent_bytes"].as_u64()?,
+        pauses: told["counters"]["pauses"].as_u64()?,
     })
 }
 
+/// Sent datagrams and bytes, and pauses; on a busy machine it may have to be asked for more than once.
+fn counts(fleet: &Fleet, n: usize) -> [u64; 3] {
+    let told = (0..ASKED).find_map(|_| told(fleet, n));
+    told.map_or([0; 3], |told| [told.sent, told.bytes, told.pauses])
+}
+
 /// Asks those until each has said so, at most so long; how long after the moment each did, in ms.
 fn until(
     fleet: &Fleet, since: Instant, most: Duration, whom: &[usize], so: impl Fn(&Told) -> bool,
@@ -77,23 +86,25 @@
     Fleet::start(&Plan { nodes, setup, cold: COLD, slots: 1_000, call: ms(0), mesh: Some(seed) })
 }
 
-/// CPU in ms a second and resident KB of each over a time in which nothing happens; datagrams and bytes a second too.
-fn calm(fleet: &Fleet) -> [f64; 4] {
-    let all = |of: &dyn Fn(usize) -> f64| (0..fleet.members.len()).map(of).sum::<f64>();
-    let counts = |n: usize| told(fleet, n).map_or((0, 0), |told| (told.sent, told.bytes));
+/// Of each over a time in which nothing happens: CPU in ms a second, KB of memory of its own, datagrams, bytes and pauses a
+/// second.
+fn calm(fleet: &Fleet, members: bool) -> [f64; 5] {
+    let nodes = fleet.members.len();
+    let all = |of: &dyn Fn(usize) -> f64| (0..nodes).map(of).sum::<f64>() / nodes.max(1) as f64;
     let cpu = || all(&|n| fleet.members[n].node.cpu_us() as f64 / 1e3);
-    let before: Vec<(u64, u64)> = (0..fleet.members.len()).map(counts).collect();
-    let (used, since) = (cpu(), Instant::now());
+    let counted = || -> Vec<[u64; 3]> { (0..nodes).filter(|_| members).map(|n| counts(fleet, n)).collect() };
+    let (before, since) = (counted(), Instant::now());
+    let used = cpu();
     std::thread::sleep(CALM);
-    let (used, span) = (cpu() - used, since.elapsed().as_secs_f64());
-    let after: Vec<(u64, u64)> = (0..fleet.members.len()).map(counts).collect();
-    let spent = |of: &dyn Fn(&(u64, u64)) -> u64| {
-        let sum = |all: &[(u64, u64)]| all.iter().map(of).sum::<u64>();
-        sum(&after).saturating_sub(sum(&before)) as f64
+    let used = cpu() - used;
+    let (span, after) = (since.elapsed().as_secs_f64(), counted());
+    let each = |which: usize| {
+        let pairs =
+            before.iter().zip(&after).map(|(before, after)| after[which].saturating_sub(before[which]));
+        pairs.sum::<u64>() as f64 / span / nodes.max(1) as f64
     };
-    let memory = all(&|n| resident_kb(&fleet.members[n].node.child.id().to_string()));
-    let each = fleet.members.len().max(1) as f64;
-    [used / span, memory, spent(&|c| c.0) / span, spent(&|c| c.1) / span].map(|figure| round(figure / each))
+    let memory = all(&|n| memory_kb(&fleet.members[n].node.child.id().to_string(), "RssAnon:"));
+    [used / CALM.as_secs_f64(), memory, each(0), each(1), each(2)].map(round)
 }
 
 /// The scenario.
@@ -106,7 +117,7 @@
 
     let mut off = start(SECTIONS.into(), nodes, seed)?;
     std::thread::sleep(ms(3_000));
-    let [cpu_off, memory_off, ..] = calm(&off);
+    let [cpu_off, memory_off, ..] = calm(&off, false);
     let mut left = off.end();
     drop(off);
 
@@ -115,7 +126,7 @@
     let mut all: Vec<usize> = (0..nodes).collect();
     let found = until(&fleet, begun, ms(60_000), &all, |told| told.alive + 1 >= nodes);
     std::thread::sleep(ms(3_000));
-    let [cpu, memory, datagrams, bytes] = calm(&fleet);
+    let [cpu, memory, datagrams, bytes, pauses] = calm(&fleet, true);
     let notice = LeaseTerms::of(PROBE * 1_000, SUSPICION * 1_000, nodes).notice / 1_000;
     let mut took = Vec::new();
     for death in 0..DEATHS.min(nodes - 2) {
@@ -142,6 +153,7 @@
         ("memory_kb", beside(json!(round(memory - memory_off)), "memory_kb")),
         ("cpu_ms_per_s_of_the_process", json!({"members": cpu, "off": cpu_off})),
         ("memory_kb_of_the_process", json!({"members": memory, "off": memory_off})),
+        ("pauses_per_s", json!(pauses)),
         ("notice_ms", json!(notice)),
         ("nodes", json!(nodes)),
         ("load", json!(std::fs::read_to_string("/proc/loadavg").unwrap_or_default().trim())),
