Module: terms are staged beside those in force, and a change brings all in at once

A change took a whole second module and went over every method and tenant in one call: at 4,700 methods and 49,000 tenants a pause for everybody. Now Control::stage takes terms in by entry, at any time and in any number, and Control::change flips a version count; a frame (a module without methods and tenants) brings the scalars. A tenant's place stays its own over changes, and its rate here is reckoned at use from the whole fleet's.

The greatest of all costs and criticalities is kept in a tournament (src/peak.rs) instead of being looked for among all methods several times for each RPC. Greatest and scaling commute, as rounding is monotone.

The engine stages what it knows by method the same way.

Tests: those of the old Control::change are ported to stage and change with the same assertions; share_out is told the dearest max_cost (1.6e3 is what Cost::new(1e3) gave).

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -9,9 +9,9 @@
 use crate::service::Service;
 use crate::sidecars::Sidecars;
 use crate::wire::{Asker, ConnId, LinkId, Place, Wire};
-use asterrill::{CallEnd, Effect, Final, MethodId, RpcId, RunEnd, Us};
+use asterrill::{CallEnd, Effect, Final, MethodId, RpcId, RunEnd, Term, Us};
 use asterrill_agree::{caller_key, Gate, Kind};
-use asterrill_engine::{Command, Engine, IdempotencyKey, Outputs, Read, RouteId, Served, Terms};
+use asterrill_engine::{Bounds, Command, Engine, IdempotencyKey, Outputs, Read, RouteId, Served, Terms};
 use asterrill_net::{Buf, Pool};
 use asterrill_protocol::agent::{self, NoticeId};
 use asterrill_protocol::frames::{Ask, StreamId, STREAMS};
@@ -370,14 +370,12 @@
         let mut of_methods = std::collections::BTreeMap::new();
         let mut fresh: Vec<(usize, &String)> = server.methods.iter().map(|(name, id)| (id.0, name)).collect();
         fresh.sort();
-        let mut places = Vec::new();
         for (_, name) in fresh {
             let place = *slots.entry(name.clone()).or_insert_with(|| {
                 names.push(name.clone());
                 MethodId(names.len() - 1)
             });
             of_methods.insert(name.clone(), place);
-            places.push(place.0);
         }
         if names.len() > METHODS {
             return Err(format!("there were more than {METHODS} methods since the start: start anew"));
@@ -385,27 +383,35 @@
         if self.around.queues.as_ref().is_some_and(|queues| !queues.could_take(&terms)) {
             return Err("there were too many queues since the start: start anew".into());
         }
-        let (mut shares, mut tokened) = (vec![false; names.len()], vec![false; names.len()]);
+        let mut tokened = vec![false; names.len()];
         let mut methods = asterrill_consumer::Methods::new();
         for (name, place) in &of_methods {
             let at = server.methods.get(name).map_or(0, |id| id.0);
-            shares[place.0] = server.shares.get(at).copied().unwrap_or(false);
             tokened[place.0] = server.effects.get(at) == Some(&Effect::Tokened);
             methods.insert(name.clone(), (*place, server.effects[at]));
             self.around.service.target(place.0, server.targets[at]);
         }
-        let mut tenants: Vec<(usize, &String)> =
-            server.tenants.iter().map(|(name, at)| (*at, name)).collect();
-        tenants.sort();
+        // Tenants that stay keep their places, and new ones take those that nobody has or had till now.
         let before = &self.around.server.tenants;
-        let tenants: Vec<Option<usize>> =
-            tenants.into_iter().map(|(_, name)| before.get(name).copied()).collect();
+        let taken: std::collections::BTreeSet<usize> = before.values().copied().collect();
+        let mut free = (0..).filter(|place| !taken.contains(place));
+        let mut known_tenants = std::collections::BTreeMap::new();
+        let mut staged: Vec<Term> = before.values().map(|place| Term::Tenant(*place, None)).collect();
+        for (name, at) in &server.tenants {
+            let place = before.get(name).copied().or_else(|| free.next()).unwrap_or(*at);
+            staged.push(Term::Tenant(place, server.control.tenant(*at)));
+            known_tenants.insert(name.clone(), place);
+        }
+        staged.extend(slots.values().map(|place| Term::Method(*place, None)));
+        for (name, place) in &of_methods {
+            let method = server.methods.get(name).and_then(|id| server.control.method(*id));
+            staged.push(Term::Method(*place, method.cloned()));
+        }
         self.around.agent.target(server.targets.iter().max().copied().unwrap_or(0));
         let results = self.held.bytes() / RESULTS;
-        let terms_of = Terms { shares, fresh: server.fresh, results, longest: server.longest };
+        let bounds = Bounds { fresh: server.fresh, results, longest: server.longest };
         let targets = targets(&server);
-        let (known_tenants, gauges) = (server.tenants, server.gauges);
-        let tenants_now = known_tenants;
+        let (tenants_now, gauges) = (known_tenants, server.gauges);
         let known =
             Names { methods: names, of_methods, slots, tenants: tenants_now, tokened, targets, gauges };
         self.with(now, wire, |engine, now, out| {
@@ -416,7 +422,8 @@
                 queues.change(now, terms, &methods, &known.tenants);
             }
             out.around.server = known;
-            engine.change(now, server.control, terms_of, &places, &tenants, out);
+            engine.stage(&staged);
+            engine.change(now, Some(server.control), Some(bounds), out);
         });
         Ok(())
     }
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -5,8 +5,8 @@
 use crate::kept::Kept;
 use crate::outputs::{Counts, Outputs, RouteId, Served};
 use asterrill::{
-    Answer, Arrival, CallEnd, CallerId, Care, Control, Experience, Final, Gauges, MethodId, Outcome, RpcId,
-    RunEnd, Standing, Us,
+    Answer, Arrival, CallEnd, CallerId, Care, Control, Effect, Experience, Final, Gauges, MethodId, Outcome,
+    RpcId, RunEnd, Staged, Standing, Term, Us,
 };
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::RangeBounds;
@@ -28,6 +28,17 @@
     pub longest: Us,
 }
 
+/// Of [`Terms`] what is not by method.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// How long a read's result may serve others, in microseconds; 0 for never.
+    pub fresh: Us,
+    /// Bytes of the results of tokened RPCs that are kept for their repeats.
+    pub results: usize,
+    /// The longest that any RPC may be open, in microseconds.
+    pub longest: Us,
+}
+
 /// Makes the copy of a body that is held; none while there is no room for it.
 pub type Hold<B> = Box<dyn Fn(&[u8]) -> Option<B> + Send>;
 
@@ -103,7 +114,8 @@
 /// See the package's page.
 pub struct Engine<P, B> {
     control: Control,
-    terms: Terms,
+    shares: Staged<bool>, // by method
+    fresh: Us,
     hold: Hold<B>,
     now: Us,
     open: BTreeMap<RpcId, Rpc<P, B>>,
@@ -131,7 +143,8 @@
         let tokens = IdempotencyKeys::new(terms.results, terms.longest);
         Engine {
             control,
-            terms,
+            shares: Staged::new(terms.shares),
+            fresh: terms.fresh,
             hold,
             now,
             open: BTreeMap::new(),
@@ -161,7 +174,9 @@
 
     /// The same for a module made anew, before any RPC was read.
     pub fn restart(&mut self, now: Us, control: Control, terms: Terms, out: &mut dyn Outputs<P>) {
-        self.take_terms(terms);
+        let Terms { shares, fresh, results, longest } = terms;
+        self.take_bounds(Bounds { fresh, results, longest });
+        self.shares = Staged::new(shares);
         self.control = control;
         self.wakes.clear();
         self.start(now, out);
@@ -171,21 +186,41 @@
         }
     }
 
-    /// Other settings from now on, all at once: see [`Control::change`]. What is kept of reads serves nobody under
-    /// the new terms.
+    /// Takes terms in beside those in force: nothing of them shows until [`Engine::change`]. See
+    /// [`Control::stage`].
+    pub fn stage(&mut self, terms: &[Term]) {
+        for term in terms {
+            if let Term::Method(MethodId(at), method) = term {
+                let shares = method.as_ref().map(|method| method.effect == Effect::Idempotent);
+                self.shares.stage(*at, shares);
+            }
+        }
+        self.control.stage(terms);
+    }
+
+    /// All that was staged is in force from now on, at once, with the settings of `frame` and these bounds where
+    /// there are any: see [`Control::change`]. What is kept of reads serves nobody under the new terms.
     pub fn change(
-        &mut self, now: Us, control: Control, terms: Terms, methods: &[usize], tenants: &[Option<usize>],
-        out: &mut dyn Outputs<P>,
+        &mut self, now: Us, frame: Option<Control>, bounds: Option<Bounds>, out: &mut dyn Outputs<P>,
     ) {
         self.pass(now);
-        self.take_terms(terms);
+        self.shares.change();
+        bounds.into_iter().for_each(|bounds| self.take_bounds(bounds));
         self.kept.forget_ended();
-        let outcome = self.control.change(self.now, control, methods, tenants);
+        let outcome = self.control.change(self.now, frame);
         self.carry(outcome, out);
     }
-    fn take_terms(&mut self, terms: Terms) {
-        self.idempotency.bounds(terms.results, terms.longest);
-        self.terms = terms;
+    fn take_bounds(&mut self, bounds: Bounds) {
+        self.idempotency.bounds(bounds.results, bounds.longest);
+        self.fresh = bounds.fresh;
+    }
+    /// RPCs of this method can be read now.
+    pub fn knows_method(&self, method: MethodId) -> bool {
+        self.control.knows_method(method)
+    }
+    /// This tenant has a share now.
+    pub fn knows_tenant(&self, tenant: usize) -> bool {
+        self.control.knows_tenant(tenant)
     }
     /// What serving an RPC of a method takes, as learned so far, in microseconds.
     pub fn cost(&self, method: MethodId) -> f64 {
@@ -264,14 +299,14 @@
 
     /// Reads of this method may share the result of one run.
     pub fn shares(&self, method: MethodId) -> bool {
-        self.terms.fresh > 0 && self.terms.shares.get(method.0).copied().unwrap_or(false)
+        self.fresh > 0 && self.shares.get(method.0).copied().unwrap_or(false)
     }
 
     /// Tells the module of an RPC that has come, and of the one that it repeats.
     fn offer(&mut self, id: RpcId, out: &mut dyn Outputs<P>) {
         let Some(rpc) = self.open.get_mut(&id) else { return };
         let read = &rpc.read;
-        let shares = self.terms.fresh > 0 && self.terms.shares.get(read.method.0).copied().unwrap_or(false);
+        let shares = self.fresh > 0 && self.shares.get(read.method.0).copied().unwrap_or(false);
         let key = read.key.filter(|_| read.shares && shares).map(|key| (read.method, key));
         let prior = match (read.idempotency_key, key) {
             (Some(token), _) => self.idempotency.prior(token, rpc.since),
@@ -387,7 +422,7 @@
         let ok = end == RunEnd::Ok;
         self.answer(id, if ok { Final::Ok(result) } else { Final::Aborted }, out);
         self.close(id, out);
-        let (hold, until) = (&self.hold, self.now + self.terms.fresh);
+        let (hold, until) = (&self.hold, self.now + self.fresh);
         self.kept.ended(id, until, || Some(result).filter(|_| ok).and_then(hold));
         self.counts.results_dropped += self.idempotency.ended(id, Some(result).filter(|_| ok));
         let outcome = self.control.run_ended(self.now, id, end);
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -43,6 +43,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use engine::{Command, Engine, Hold, Read, Terms};
+pub use engine::{Bounds, Command, Engine, Hold, Read, Terms};
 pub use idempotency::IdempotencyKey;
 pub use outputs::{Counts, Outputs, RouteId, Served};
--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 #[path = "learned.rs"]
 mod learned;
 
+use crate::terms::{Ranked, Staged, Term};
 use crate::types::*;
 use nanorand::{Rng, WyRand};
 use std::cmp::Reverse;
@@ -117,14 +118,15 @@
 }
 
 /// What serving an RPC of one method costs, learned from runs that ended ok. In microseconds.
+#[derive(Clone)]
 pub(crate) struct Cost {
     n: f64,
     mean: f64,
 }
 
 impl Cost {
-    pub(crate) fn new(first: f64) -> Cost {
-        Cost { n: 1.0, mean: first }
+    pub(crate) fn new(m: &Method) -> Cost {
+        Cost { n: 1.0, mean: m.latency_target as f64 * FIRST_COST }
     }
     fn learn(&mut self, served: f64) {
         self.n = (self.n + 1.0).min(COST_MEMORY);
@@ -170,15 +172,14 @@
     }
 
     /// Shares target_parallel_reqs out over the active callers; accounts long unused are forgotten.
-    pub(crate) fn share_out(&mut self, now: Us, target: f64, costs: &[Cost]) {
+    pub(crate) fn share_out(&mut self, now: Us, target: f64, dearest: f64) {
         while let Some((_, caller)) = self.heard.first().copied().filter(|(at, _)| at + 60 * ACTIVE <= now) {
             self.heard.pop_first();
             self.of.remove(&caller);
         }
-        let dearest = costs.iter().map(Cost::max_cost).fold(0.0, f64::max) * 1e3;
         self.active = self.heard.range((now.saturating_sub(ACTIVE), CallerId(0))..).count().max(1) as f64;
         self.mrr = target * 1e6 / self.active;
-        self.buf_limit = (self.mrr * self.span).max(dearest * BUF_RPCS);
+        self.buf_limit = (self.mrr * self.span).max(dearest * 1e3 * BUF_RPCS);
     }
 
     /// The caller sent an RPC. Hands back its buf_value.
@@ -438,7 +439,9 @@
 
 /// Tenants' shares here: what exceeds them is worth less, so it waits behind the rest.
 pub struct Shares {
-    rates: Vec<(f64, f64, Us)>,
+    rates: Staged<f64>, // over the whole fleet
+    rooms: Vec<(f64, Us)>,
+    replicas: f64,
     worth: f64,
     pub(crate) part: f64,
 }
@@ -446,12 +449,21 @@
 impl Shares {
     /// `rates`: RPCs a second of each tenant over the whole fleet; `worth`: of what exceeds them.
     pub fn new(rates: &[f64], replicas: usize, worth: f64) -> Shares {
-        let here = |rate: &f64| (rate / replicas.max(1) as f64, TENANT_RPCS, 0);
-        Shares { rates: rates.iter().map(here).collect(), worth, part: 1.0 }
+        let (rates, rooms) = (Staged::new(rates.iter().copied()), vec![(TENANT_RPCS, 0); rates.len()]);
+        Shares { rates, rooms, replicas: replicas.max(1) as f64, worth, part: 1.0 }
+    }
+    /// One that is new here has a full room: time that passes adds nothing to that.
+    fn stage(&mut self, tenant: usize, rate: Option<f64>) {
+        if rate.is_some() && self.rates.get(tenant).is_none() {
+            self.rooms.resize(self.rooms.len().max(tenant + 1), (TENANT_RPCS, 0));
+            self.rooms[tenant] = (TENANT_RPCS, 0);
+        }
+        self.rates.stage(tenant, rate);
     }
     pub(crate) fn worth(&mut self, now: Us, tenant: Option<usize>) -> f64 {
-        let Some((rate, room, at)) = tenant.and_then(|t| self.rates.get_mut(t)) else { return 1.0 };
-        *room = (*room + *rate * self.part * (now - *at) as f64 / 1e6).min(TENANT_RPCS);
+        let Some((t, rate)) = tenant.and_then(|t| Some((t, self.rates.get(t)?))) else { return 1.0 };
+        let Some((room, at)) = self.rooms.get_mut(t) else { return 1.0 };
+        *room = (*room + rate / self.replicas * self.part * (now - *at) as f64 / 1e6).min(TENANT_RPCS);
         *at = now;
         let whole = if *room >= 1.0 { 1.0 } else { 0.0 };
         *room -= whole;
@@ -465,8 +477,8 @@
     chance: WyRand,
     step: Us,
     stop_mode: StopMode,
-    methods: Vec<Method>,
-    costs: Vec<Cost>,
+    methods: Ranked<Method>, // by criticality
+    costs: Ranked<Cost>,     // by mean
     pub(crate) accounts: Accounts,
     target: Target,
     hold: Hold,
@@ -496,7 +508,8 @@
         target: Target, calls: Calls, keys: Keys, memory: Memory, drain: Drain, credit: Credit,
         shares: Shares,
     ) -> Control {
-        let costs = methods.iter().map(|m| Cost::new(m.latency_target as f64 * FIRST_COST)).collect();
+        let costs = Ranked::new(methods.iter().map(Cost::new).collect(), |cost| cost.mean);
+        let methods = Ranked::new(methods, |method| method.criticality);
         let (alarms, at_call, hold) = (BTreeSet::new(), BTreeSet::new(), Hold::default());
         let (chance, cores, out) = (WyRand::new_seed(seed), Cores::default(), Outcome::default());
         let care = Care { calls: f64::INFINITY, repeats: f64::INFINITY, spread: 0.0 };
@@ -506,7 +519,7 @@
             credit, shares, care, rpcs: BTreeMap::new(), alarms, at_call, cores, out, pace: 1.0, beat: now,
             woken_at: Us::MAX, seq: 0,
         };
-        control.accounts.share_out(now, control.target.target, &control.costs);
+        control.share_out();
         control
     }
 
@@ -566,47 +579,53 @@
         })
     }
 
-    /// Other settings from now on, all at once: those of `fresh`. Its methods stand at these places here, known
-    /// ones at theirs and new ones after the last; the tenants that were known before at `tenants`. Methods that
-    /// are not named are over, but stay for what is in hand. Accounts, learned costs, target, breaker, and the
-    /// terms under which each RPC was read go on.
-    pub fn change(
-        &mut self, now: Us, fresh: Control, methods: &[usize], tenants: &[Option<usize>],
-    ) -> Outcome {
-        self.after(now, |c| {
-            c.methods.iter_mut().for_each(|m| m.criticality = 0.0);
-            for ((method, cost), at) in fresh.methods.into_iter().zip(fresh.costs).zip(methods) {
-                match c.methods.get_mut(*at) {
-                    Some(known) => *known = method,
-                    None => {
-                        c.methods.push(method);
-                        c.costs.push(cost);
+    /// Takes terms in beside those in force, in place of what was staged at their places before: nothing of them
+    /// shows until `change`. A method that is over stays at its place for what is in hand, with criticality 0,
+    /// and what was learned of its cost is there when it is taken up again; a tenant then starts anew.
+    pub fn stage(&mut self, terms: &[Term]) {
+        for term in terms {
+            match term {
+                Term::Tenant(tenant, rate) => self.shares.stage(*tenant, *rate),
+                Term::Method(MethodId(at), method) => {
+                    if self.costs.get(*at).is_none() {
+                        self.costs.stage(*at, method.as_ref().map(Cost::new));
                     }
+                    self.methods.stage(*at, method.clone());
                 }
             }
-            let (target, calls, grace) = (fresh.target, fresh.calls, fresh.drain.grace);
-            c.target.target *= target.cores / c.target.cores;
-            (c.target.cores, c.target.tip) = (target.cores, target.tip);
-            (c.calls.bound, c.calls.window, c.calls.linger) = (calls.bound, calls.window, calls.linger);
-            c.calls.divided = calls.divided;
-            (c.calls.pause, c.calls.mean.span) = (calls.pause, calls.mean.span);
-            (c.keys.kb, c.keys.fresh) = (fresh.keys.kb, fresh.keys.fresh);
-            (c.memory.ram, c.memory.factor) = (fresh.memory.ram, fresh.memory.factor);
-            c.drain.grace = grace;
-            (c.credit.say, c.credit.come_back) = (fresh.credit.say, fresh.credit.come_back);
-            (c.credit.fine, c.credit.longest) = (fresh.credit.fine, fresh.credit.longest);
-            c.credit.idle = c.credit.idle.min(c.credit.longest);
-            let before = std::mem::replace(&mut c.shares, fresh.shares);
-            c.shares.part = before.part;
-            for (share, known) in c.shares.rates.iter_mut().zip(tenants) {
-                let room = known.and_then(|at| before.rates.get(at));
-                (share.1, share.2) = room.map_or((share.1, c.now), |room| (room.1, room.2));
-            }
-            (c.step, c.stop_mode, c.accounts.span) = (fresh.step, fresh.stop_mode, fresh.accounts.span);
-            c.accounts.share_out(c.now, c.target.target, &c.costs);
+        }
+    }
+
+    /// All that was staged is in force from now on, at once, with the settings of `frame`, of whose methods and
+    /// tenants nothing is taken. Accounts, learned costs, target, breaker, what tenants have left, and the terms
+    /// under which each RPC was read go on.
+    pub fn change(&mut self, now: Us, frame: Option<Control>) -> Outcome {
+        self.after(now, |c| {
+            c.methods.change();
+            c.costs.change();
+            c.shares.rates.change();
+            frame.into_iter().for_each(|frame| c.take_frame(frame));
+            c.share_out();
         })
     }
 
+    fn take_frame(&mut self, frame: Control) {
+        let (target, calls, credit) = (frame.target, frame.calls, frame.credit);
+        self.target.target *= target.cores / self.target.cores;
+        (self.target.cores, self.target.tip) = (target.cores, target.tip);
+        (self.calls.bound, self.calls.window, self.calls.linger) = (calls.bound, calls.window, calls.linger);
+        self.calls.divided = calls.divided;
+        (self.calls.pause, self.calls.mean.span) = (calls.pause, calls.mean.span);
+        (self.keys.kb, self.keys.fresh) = (frame.keys.kb, frame.keys.fresh);
+        (self.memory.ram, self.memory.factor) = (frame.memory.ram, frame.memory.factor);
+        self.drain.grace = frame.drain.grace;
+        (self.credit.say, self.credit.come_back) = (credit.say, credit.come_back);
+        (self.credit.fine, self.credit.longest) = (credit.fine, credit.longest);
+        self.credit.idle = self.credit.idle.min(self.credit.longest);
+        (self.shares.replicas, self.shares.worth) = (frame.shares.replicas, frame.shares.worth);
+        (self.step, self.stop_mode, self.accounts.span) = (frame.step, frame.stop_mode, frame.accounts.span);
+    }
+
     /// How carefully it comes back, from now on.
     pub fn careful(&mut self, now: Us, care: Care) -> Outcome {
         self.after(now, |c| c.care = care)
@@ -636,7 +655,7 @@
             c.beat = c.now + ACTIVE / BEATS;
             c.keys.until.retain(|_, until| *until > c.now);
             c.target.adjust(c.now, gauges, c.cores.running as f64, c.pace);
-            c.accounts.share_out(c.now, c.target.target, &c.costs);
+            c.share_out();
             let close_idle = |open| c.credit.close_idle(open, c.accounts.active, c.target.cores);
             c.out.close_idle = gauges.links.and_then(close_idle);
             // With nothing to run, nothing tells of a recovery: the pace is forgiven step by step.
@@ -664,16 +683,25 @@
         std::mem::take(&mut self.out)
     }
 
+    /// max_cost of the dearest method.
+    fn dearest(&self) -> f64 {
+        self.costs.greatest(0.0) * VARIES
+    }
+    fn share_out(&mut self) {
+        self.accounts.share_out(self.now, self.target.target, self.dearest());
+    }
+
     /// Guards against work that stops finishing (hang, pause, dead disk): nothing comes on or off the cores.
     /// Harm: a rare run of several times its cost with no other beside it.
     fn still(&self) -> bool {
-        let far = self.costs.iter().map(|cost| FAR * cost.max_cost()).fold(0.0, f64::max);
+        let far = FAR * self.dearest();
         self.cores.running > 0 && (self.now - self.cores.touched) as f64 > far
     }
 
     fn take(&mut self, a: Arrival, tenant: Option<usize>) {
         let (now, id, pace) = (self.now, a.id, if self.pace > VARIES { self.pace } else { 1.0 });
-        let (m, cost) = (&self.methods[a.method.0], &self.costs[a.method.0]);
+        let (m, cost) = (self.methods.last(a.method.0), self.costs.get(a.method.0));
+        let (Some(m), Some(cost)) = (m, cost) else { return self.push_back(id, true, 0.0) };
         let (max_cost, work, whole) = (cost.max_cost() * 1e3 * pace, cost.mean, cost.mean * pace);
         self.credit.unread.add(now, a.unread as f64);
         self.credit.read.add(now, 1.0);
@@ -684,7 +712,8 @@
         // While RPCs wait, one that would be late is not worth the cores that one in time could have.
         let good = due.min(arrived + m.latency_target);
         let last_good = if m.late_share > 0.0 { due } else { good };
-        let worth = m.criticality * self.shares.worth(now, tenant);
+        let criticality = if self.knows_method(a.method) { m.criticality } else { 0.0 };
+        let worth = criticality * self.shares.worth(now, tenant);
         self.seq += 1;
         let mut place = (Reverse((worth * 1e6) as u64), Reverse(0), self.seq, id);
         let keep = match m.effect {
@@ -713,7 +742,7 @@
         if late || now >= due || !fits || hopeless || still {
             return self.push_back(id, hopeless && !still, if hopeless { over } else { 0.0 });
         }
-        let top = self.methods.iter().map(|m| m.criticality).fold(f64::MIN_POSITIVE, f64::max);
+        let top = self.methods.greatest(f64::MIN_POSITIVE);
         let reserve = self.accounts.buf_limit * RESERVE * (1.0 - worth / top);
         let full = self.cores.running as f64 >= self.target.target && !self.hold.order.is_empty();
         if full && buf_value < max_cost + reserve {
@@ -758,7 +787,8 @@
         r.stage = Stage::AtCall;
         if !r.answered {
             self.at_call.insert(r.place);
-            let finish = (self.costs[r.a.method.0].mean * FINISH) as Us + 2 * self.step;
+            let mean = self.costs.get(r.a.method.0).map_or(0.0, |cost| cost.mean);
+            let finish = (mean * FINISH) as Us + 2 * self.step;
             let alarm = r.last_good.saturating_sub(finish).min(r.due).max(self.now);
             self.set_alarm(id, alarm);
         }
@@ -818,13 +848,13 @@
         let real_cost = if end == RunEnd::Aborted { r.taken } else { r.served * 1e3 };
         self.accounts.correct(self.now, r.a.caller, r.taken, real_cost, r.penalty * PENALTY);
         // A run that was stopped took at least as long; what a slow server takes is not learned as the cost.
-        let cost = &mut self.costs[r.a.method.0];
-        let ratio = (r.served / cost.mean).min(2.0 * FAR);
+        let Some(Cost { n, mean }) = self.costs.get(r.a.method.0) else { return };
+        let (few, ratio) = (*n < PACE_MEMORY, (r.served / mean).min(2.0 * FAR));
         if end == RunEnd::Ok || ratio > self.pace {
             self.pace += (ratio - self.pace) / PACE_MEMORY;
         }
-        if end == RunEnd::Ok && (self.pace < VARIES || cost.n < PACE_MEMORY) {
-            cost.learn(r.served);
+        if end == RunEnd::Ok && (self.pace < VARIES || few) {
+            self.costs.alter(r.a.method.0, |cost| cost.learn(r.served));
         }
     }
 
--- a/src/learned.rs
+++ b/src/learned.rs
@@ -12,12 +12,17 @@
             self.accounts.of.get(caller).map(|a| (*caller, (a.buf_value / limit).clamp(0.0, 1.0)))
         };
         Experience {
-            costs: self.costs.iter().enumerate().map(|(i, c)| (MethodId(i), c.mean, c.n - 1.0)).collect(),
+            costs: self.costs.iter().map(|(i, c)| (MethodId(i), c.mean, c.n - 1.0)).collect(),
             target: Some(self.target.target),
             pace: Some(self.pace),
             failures: self.calls.failures,
             accounts: self.accounts.heard.iter().rev().take(CALLERS).filter_map(account).collect(),
-            tenants: self.shares.rates.iter().enumerate().map(|(i, (_, room, _))| (i, *room)).collect(),
+            tenants: self
+                .shares
+                .rates
+                .iter()
+                .filter_map(|(i, _)| Some((i, self.shares.rooms.get(i)?.0)))
+                .collect(),
             age: 0,
         }
     }
@@ -26,12 +31,12 @@
     pub fn recall(&mut self, now: Us, told: Experience) -> Outcome {
         self.after(now, |c| {
             for (method, mean, n) in told.costs {
-                c.costs.get_mut(method.0).into_iter().for_each(|cost| *cost = Cost { n: n + 1.0, mean });
+                c.costs.alter(method.0, |cost| *cost = Cost { n: n + 1.0, mean });
             }
             c.target.set(c.now, told.target.unwrap_or(c.target.target));
             c.pace = told.pace.unwrap_or(c.pace);
             c.calls.failures = told.failures.min(FAILURES - 1);
-            c.accounts.share_out(c.now, c.target.target, &c.costs);
+            c.share_out();
             for (caller, share) in told.accounts.into_iter().take(CALLERS) {
                 let account = c.accounts.recharge(c.now, caller);
                 account.buf_value *= share;
@@ -39,13 +44,30 @@
                 c.accounts.heard.insert((last, caller));
             }
             for (tenant, room) in told.tenants {
-                if let Some(rate) = c.shares.rates.get_mut(tenant) {
-                    (rate.1, rate.2) = (room.min(TENANT_RPCS), c.now.saturating_sub(told.age));
+                let known = c.shares.rates.get(tenant).and(c.shares.rooms.get_mut(tenant));
+                if let Some(left) = known {
+                    *left = (room.min(TENANT_RPCS), c.now.saturating_sub(told.age));
                 }
             }
         })
     }
 
+    /// RPCs of this method can be read now.
+    pub fn knows_method(&self, method: MethodId) -> bool {
+        self.method(method).is_some()
+    }
+    /// This tenant has a share now.
+    pub fn knows_tenant(&self, tenant: usize) -> bool {
+        self.tenant(tenant).is_some()
+    }
+    /// A method, and a tenant's RPCs a second over the whole fleet, as they are in force.
+    pub fn method(&self, method: MethodId) -> Option<&Method> {
+        self.methods.get(method.0)
+    }
+    pub fn tenant(&self, tenant: usize) -> Option<f64> {
+        self.shares.rates.get(tenant).copied()
+    }
+
     pub fn standing(&self) -> Standing {
         let Target { start, ramp, cold_from, .. } = &self.target;
         let warm = *cold_from >= 1.0 || self.now.saturating_sub(*start) as f64 >= *ramp;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,9 +8,12 @@
 //! The mechanism, what it keeps of its source and where it departs from it: `docs/design.md`.
 
 mod control;
+mod peak;
+mod terms;
 #[cfg(test)]
 mod tests;
 mod types;
 
 pub use control::{Accounts, Calls, Control, Credit, Drain, Hold, Keys, Memory, Shares, Target};
+pub use terms::{Staged, Term};
 pub use types::*;
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -445,7 +445,7 @@
 #[test]
 fn an_account_recharges_by_mrr_and_is_corrected_in_the_order_of_the_source() {
     let (caller, mut accounts) = (CallerId(1), Accounts::new(500 * MS, 1));
-    accounts.share_out(0, 4.0, &[control::Cost::new(1e3)]);
+    accounts.share_out(0, 4.0, 1.6e3);
     assert_eq!((accounts.mrr, accounts.buf_limit), (4e6, 1e9));
     assert_eq!(accounts.take(0, caller, 6e8), (6e8, 0.4));
     accounts.correct(0, caller, 6e8, 5e8, 3e8);
@@ -589,9 +589,9 @@
     for caller in 0..3_000 {
         accounts.hear(caller * MS, CallerId(caller));
     }
-    accounts.share_out(3_000 * MS, 4.0, &[control::Cost::new(1e3)]);
+    accounts.share_out(3_000 * MS, 4.0, 1.6e3);
     assert_eq!(accounts.mrr, 4e6 / 1_000.0);
-    accounts.share_out(90_000 * MS, 4.0, &[control::Cost::new(1e3)]);
+    accounts.share_out(90_000 * MS, 4.0, 1.6e3);
     assert_eq!((accounts.mrr, accounts.of.len()), (4e6, 0), "long unused accounts are forgotten");
 }
 
@@ -715,22 +715,24 @@
     fn made(now: Us, criticality: &[f64], cores: usize, ram: f64) -> Control {
         with(now, criticality, cores, ram, 2.0)
     }
-    fn with(now: Us, criticality: &[f64], cores: usize, ram: f64, factor: f64) -> Control {
-        let method = |criticality: &f64| Method {
+    fn method(criticality: f64) -> Method {
+        Method {
             latency_target: 400 * MS,
             deadline: 900 * MS,
             effect: Effect::Idempotent,
-            criticality: *criticality,
+            criticality,
             late_share: 0.0,
             window: 0,
             skip_share: 0.5,
-        };
+        }
+    }
+    fn with(now: Us, criticality: &[f64], cores: usize, ram: f64, factor: f64) -> Control {
         Control::new(
             now,
             3,
             4 * MS,
             StopMode::Abort,
-            criticality.iter().map(method).collect(),
+            criticality.iter().copied().map(method).collect(),
             Accounts::new(400 * MS, 1),
             Target::new(now, cores, 8.0, 1.0, 1),
             Calls::new(Below::Tier, cores, 0, 400 * MS),
@@ -764,11 +766,14 @@
         assert_eq!(ask(&mut c, 0, 1, 0).runs, [RpcId::of(1)]);
         assert!(ask(&mut c, 0, 2, 1).runs.is_empty());
         // Four cores, and a method more in front: the known ones stay at their places.
-        let out = c.change(MS, made(MS, &[9.0, 1.0, 2.0], 4, 1_000.0), &[2, 0, 1], &[Some(0)]);
+        let at = |place, worth: Option<f64>| Term::Method(MethodId(place), worth.map(method));
+        c.stage(&[at(2, Some(9.0)), at(0, Some(1.0)), at(1, Some(2.0)), Term::Tenant(0, Some(1.0))]);
+        let out = c.change(MS, Some(made(MS, &[], 4, 1_000.0)));
         assert_eq!(out.runs, [RpcId::of(2)], "there is room for what was held");
         assert!(ask(&mut c, 2 * MS, 3, 2).runs == [RpcId::of(3)]);
         // Back to one method: what runs of the others is finished and given back like any other.
-        let out = c.change(3 * MS, made(3 * MS, &[2.0], 1, 1_000.0), &[1], &[Some(0)]);
+        c.stage(&[at(0, None), at(1, Some(2.0)), at(2, None)]);
+        let out = c.change(3 * MS, Some(made(3 * MS, &[], 1, 1_000.0)));
         assert!(out.answers.is_empty() && out.stops.is_empty());
         for n in 1..=3 {
             assert!(c.run_ended(10 * MS, RpcId::of(n), RunEnd::Ok).answers.is_empty());
@@ -814,7 +819,9 @@
         let (mut kept, mut changed) = (cold(0, 1.5), cold(0, 1.5));
         kept.started();
         changed.started();
-        changed.change(500 * MS, cold(500 * MS, 1.5), &[0], &[Some(0)]);
+        let same = Method { skip_share: 0.0, ..method(1.0) };
+        changed.stage(&[Term::Method(MethodId(0), Some(same)), Term::Tenant(0, Some(1.0))]);
+        changed.change(500 * MS, Some(cold(500 * MS, 1.5)));
         let count = |c: &mut Control, now: Us, from: u64| {
             (from..from + 40).map(|n| ask(c, now, n, 0).runs.len()).sum::<usize>()
         };
@@ -831,7 +838,7 @@
         for n in 0..3 {
             assert_eq!(ask(&mut c, 0, n, 0).runs.len(), 1);
         }
-        c.change(MS, with(MS, &[1.0], 8, 100.0, 8.0), &[0], &[Some(0)]);
+        c.change(MS, Some(with(MS, &[], 8, 100.0, 8.0)));
         for n in 0..3 {
             c.run_ended(2 * MS, RpcId::of(n), RunEnd::Ok);
         }
@@ -951,7 +958,8 @@
         assert!((inside(0.25) as i64 - 59).abs() < 4, "{}", inside(0.25));
         let mut c = shared(below);
         c.share(0, 0.5);
-        c.change(MS, shared(below), &[0], &[Some(0)]);
+        c.stage(&[Term::Tenant(0, Some(100.0))]);
+        c.change(MS, Some(shared(below)));
         assert_eq!(placed(&mut c, 2), 2, "other settings divide the same");
     }
 
