Staged terms are played against a plain map, and beside a module without any

2,000 seeds of staging, ends, undo and changes against maps of what is in force, was last and is to come, and the peak against the fold; and the same inputs to a module with terms staged and one without, 100 seeds of 200, all that is handed back and learned alike.

--- a/src/tests.rs
+++ b/src/tests.rs
@@ -982,3 +982,89 @@
         assert!(longer.iter().filter(|by| **by > 0).count() > longer.len() / 2, "{longer:?}");
     }
 }
+
+/// Staging and changes at random against a plain map of what is in force.
+#[test]
+fn what_is_staged_shows_only_after_the_change_and_the_peak_is_the_greatest_of_all() {
+    use crate::peak::Peak;
+    use nanorand::{Rng, WyRand};
+    for seed in 0..2_000 {
+        let mut chance = WyRand::new_seed(seed);
+        let (mut staged, mut peak) = (Staged::new([1.0, 2.0]), Peak::new([1.0, 2.0]));
+        let mut now = BTreeMap::from([(0, 1.0), (1, 2.0)]);
+        let (mut last, mut next) = (now.clone(), now.clone());
+        for _ in 0..60 {
+            let place = chance.generate_range(0..12_usize);
+            if chance.generate_range(0..8) == 0 {
+                (staged.change(), peak.change());
+                now = next.clone();
+                last.extend(now.clone());
+            } else {
+                // A value, an end, or the way back to what is in force.
+                let value = match chance.generate_range(0..4) {
+                    0 => None,
+                    1 => now.get(&place).copied(),
+                    _ => Some(chance.generate_range(0..100_u32) as f64),
+                };
+                staged.stage(place, value);
+                match value {
+                    Some(value) => _ = next.insert(place, value),
+                    None => _ = next.remove(&place),
+                }
+                peak.set(place, now.get(&place).copied(), value);
+            }
+            for place in 0..13 {
+                assert_eq!(staged.get(place), now.get(&place), "seed {seed}");
+                assert_eq!(staged.last(place), last.get(&place), "seed {seed}");
+                assert_eq!(staged.next(place), next.get(&place), "seed {seed}");
+            }
+            let fold = now.values().copied().fold(f64::NEG_INFINITY, f64::max);
+            assert_eq!(peak.greatest().to_bits(), fold.to_bits(), "seed {seed}");
+        }
+    }
+}
+
+/// The same inputs to one that has terms staged and one that has none: nothing of what they hand back differs, until
+/// the change.
+#[test]
+fn decisions_are_the_same_with_terms_staged_and_without() {
+    for seed in 0..100 {
+        let (mut plain, mut staged) =
+            (World::new(Drawn::default(), seed), World::new(Drawn::default(), seed));
+        let method = |n: u64| Method {
+            latency_target: (1 + n) * 300 * MS,
+            deadline: 3_000 * MS,
+            effect: Effect::Idempotent,
+            criticality: n as f64 * 5.0,
+            late_share: 0.0,
+            window: 0,
+            skip_share: 0.0,
+        };
+        for n in 0..200 {
+            let term = Term::Method(MethodId(n as usize % 5), (n % 3 > 0).then(|| method(n % 4)));
+            staged.control.stage(&[term, Term::Tenant(n as usize % 7, Some(0.1))]);
+            let now = 5_000 * MS + n * 7 * MS;
+            let ended = RpcId::of(n.saturating_sub(6));
+            let [one, other] = [&mut plain, &mut staged].map(|world| {
+                let arrival = Arrival {
+                    id: RpcId::of(n),
+                    method: MethodId(n as usize % 2),
+                    caller: CallerId(n % 3),
+                    due: None,
+                    size_kb: 10.0,
+                    unread: 0,
+                    repeat: false,
+                    prior: None,
+                    key: None,
+                };
+                let read = world.control.rpc_read(now, arrival, Some(n as usize % 7));
+                let ended = world.control.run_ended(now + MS, ended, RunEnd::Ok);
+                let woken = world.control.woken(now + 2 * MS, Gauges::default());
+                format!("{read:?} {ended:?} {woken:?} {:?}", world.control.learned())
+            });
+            assert_eq!(one, other, "seed {seed}, input {n}");
+        }
+        staged.control.change(9_000 * MS, None);
+        assert!(staged.control.knows_tenant(6) && !plain.control.knows_tenant(6));
+    }
+}
