Tests of staged terms: two statements instead of a pair

The lints take a pair of units that is thrown away for a mistake; the test does the same in two statements.

--- a/src/tests.rs
+++ b/src/tests.rs
@@ -996,7 +996,8 @@
         for _ in 0..60 {
             let place = chance.generate_range(0..12_usize);
             if chance.generate_range(0..8) == 0 {
-                (staged.change(), peak.change());
+                staged.change();
+                peak.change();
                 now = next.clone();
                 last.extend(now.clone());
             } else {
