Module: a frame is taken in by reference; its copies filled a coroutine's stack

In a debug build the daemon's reload overflowed its coroutine's stack of 64 KiB: the test a_reload_with_fewer_descriptors_keeps_whom_it_has_and_bounds_who_comes failed each time. The frame was moved into a closure and out again; now it is read where it stands.

--- a/src/control.rs
+++ b/src/control.rs
@@ -604,13 +604,15 @@
             c.methods.change();
             c.costs.change();
             c.shares.rates.change();
-            frame.into_iter().for_each(|frame| c.take_frame(frame));
+            if let Some(frame) = &frame {
+                c.take_frame(frame);
+            }
             c.share_out();
         })
     }
 
-    fn take_frame(&mut self, frame: Control) {
-        let (target, calls, credit) = (frame.target, frame.calls, frame.credit);
+    fn take_frame(&mut self, frame: &Control) {
+        let (target, calls, credit) = (&frame.target, &frame.calls, &frame.credit);
         self.target.target *= target.cores / self.target.cores;
         (self.target.cores, self.target.tip) = (target.cores, target.tip);
         (self.calls.bound, self.calls.window, self.calls.linger) = (calls.bound, calls.window, calls.linger);
