Module: a call for an RPC that does not run is none, and no rule goes on for ever

At fault: Control::wait_for_call took a call needed for a held RPC, which then stood in the hold and at a call at once; an alarm stayed behind its answer. The daemon's engine lets only what was launched need a call, so no agent reaches it; the module now says so itself.

Test: a_call_for_what_does_not_run_is_none; without the mend the call is placed (calls: [(2, 271000)]).

--- a/src/control.rs
+++ b/src/control.rs
@@ -782,7 +782,8 @@
 
     /// Off the cores until a call is placed, or skipped while there is still time to finish.
     fn wait_for_call(&mut self, id: RpcId) {
-        let Some(r) = self.rpcs.get_mut(&id) else { return };
+        let runs = |r: &&mut Rpc| matches!(r.stage, Stage::Running | Stage::Calling);
+        let Some(r) = self.rpcs.get_mut(&id).filter(runs) else { return };
         if r.stage == Stage::Running {
             self.cores.leave(r, self.now);
         }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -781,6 +781,20 @@
         assert_eq!(ask(&mut c, 11 * MS, 4, 1).runs, [RpcId::of(4)]);
     }
 
+    #[test]
+    fn a_call_for_what_does_not_run_is_none() {
+        let mut c = made(0, &[1.0], 1, 1_000.0);
+        assert_eq!(ask(&mut c, 0, 1, 0).runs, [RpcId::of(1)]);
+        assert!(ask(&mut c, 0, 2, 0).runs.is_empty());
+        let out = c.call_needed(MS, RpcId::of(2));
+        assert!(out.calls.is_empty() && out.skips.is_empty() && out.answers.is_empty(), "{out:?}");
+        assert_eq!(c.standing().at_call, 0);
+        assert_eq!(c.run_ended(2 * MS, RpcId::of(1), RunEnd::Ok).runs, [RpcId::of(2)]);
+        let answers = c.woken(900 * MS, Gauges::default()).answers;
+        assert_eq!(answers, [(RpcId::of(2), Answer::Aborted)], "once, and it is over");
+        assert!(c.woken(901 * MS, Gauges::default()).answers.is_empty());
+    }
+
     #[test]
     fn a_change_while_cold_goes_on_warming_up_where_it_was() {
         let cold = |now: Us, tip: f64| {
