--- a/src/tests.rs
+++ b/src/tests.rs
@@ -445,7 +445,7 @@
 #[test]
 fn an_account_recharges_by_mrr_and_is_corrected_in_the_order_of_the_source() {
     let (caller, mut accounts) = (CallerId(1), Accounts::new(500 * MS, 1));
-    accounts.share_out(0, 4.0, &[control::Cost::new(1e3)]);
+    accounts.share_out(0, 4.0, 1.6e3);
     assert_eq!((accounts.mrr, accounts.buf_limit), (4e6, 1e9));
     assert_eq!(accounts.take(0, caller, 6e8), (6e8, 0.4));
     accounts.correct(0, caller, 6e8, 5e8, 3e8);
@@ -589,9 +589,9 @@
     for caller in 0..3_000 {
         accounts.hear(caller * MS, CallerId(caller));
     }
-    accounts.share_out(3_000 * MS, 4.0, &[control::Cost::new(1e3)]);
+    accounts.share_out(3_000 * MS, 4.0, 1.6e3);
     assert_eq!(accounts.mrr, 4e6 / 1_000.0);
-    accounts.share_out(90_000 * MS, 4.0, &[control::Cost::new(1e3)]);
+    accounts.share_out(90_000 * MS, 4.0, 1.6e3);
     assert_eq!((accounts.mrr, accounts.of.len()), (4e6, 0), "long unused accounts are forgotten");
 }
 
@@ -715,22 +715,24 @@
     fn made(now: Us, criticality: &[f64], cores: usize, ram: f64) -> Control {
         with(now, criticality, cores, ram, 2.0)
     }
-    fn with(now: Us, criticality: &[f64], cores: usize, ram: f64, factor: f64) -> Control {
-        let method = |criticality: &f64| Method {
+    fn method(criticality: f64) -> Method {
+        Method {
             latency_target: 400 * MS,
             deadline: 900 * MS,
             effect: Effect::Idempotent,
-            criticality: *criticality,
+            criticality,
             late_share: 0.0,
             window: 0,
             skip_share: 0.5,
-        };
+        }
+    }
+    fn with(now: Us, criticality: &[f64], cores: usize, ram: f64, factor: f64) -> Control {
         Control::new(
             now,
             3,
             4 * MS,
             StopMode::Abort,
-            criticality.iter().map(method).collect(),
+            criticality.iter().copied().map(method).collect(),
             Accounts::new(400 * MS, 1),
             Target::new(now, cores, 8.0, 1.0, 1),
             Calls::new(Below::Tier, cores, 0, 400 * MS),
@@ -764,11 +766,14 @@
         assert_eq!(ask(&mut c, 0, 1, 0).runs, [RpcId::of(1)]);
         assert!(ask(&mut c, 0, 2, 1).runs.is_empty());
         // Four cores, and a method more in front: the known ones stay at their places.
-        let out = c.change(MS, made(MS, &[9.0, 1.0, 2.0], 4, 1_000.0), &[2, 0, 1], &[Some(0)]);
+        let at = |place, worth: Option<f64>| Term::Method(MethodId(place), worth.map(method));
+        c.stage(&[at(2, Some(9.0)), at(0, Some(1.0)), at(1, Some(2.0)), Term::Tenant(0, Some(1.0))]);
+        let out = c.change(MS, Some(made(MS, &[], 4, 1_000.0)));
         assert_eq!(out.runs, [RpcId::of(2)], "there is room for what was held");
         assert!(ask(&mut c, 2 * MS, 3, 2).runs == [RpcId::of(3)]);
         // Back to one method: what runs of the others is finished and given back like any other.
-        let out = c.change(3 * MS, made(3 * MS, &[2.0], 1, 1_000.0), &[1], &[Some(0)]);
+        c.stage(&[at(0, None), at(1, Some(2.0)), at(2, None)]);
+        let out = c.change(3 * MS, Some(made(3 * MS, &[], 1, 1_000.0)));
         assert!(out.answers.is_empty() && out.stops.is_empty());
         for n in 1..=3 {
             assert!(c.run_ended(10 * MS, RpcId::of(n), RunEnd::Ok).answers.is_empty());
@@ -776,6 +781,20 @@
         assert_eq!(ask(&mut c, 11 * MS, 4, 1).runs, [RpcId::of(4)]);
     }
 
+    #[test]
+    fn a_call_for_what_does_not_run_is_none() {
+        let mut c = made(0, &[1.0], 1, 1_000.0);
+        assert_eq!(ask(&mut c, 0, 1, 0).runs, [RpcId::of(1)]);
+        assert!(ask(&mut c, 0, 2, 0).runs.is_empty());
+        let out = c.call_needed(MS, RpcId::of(2));
+        assert!(out.calls.is_empty() && out.skips.is_empty() && out.answers.is_empty(), "{out:?}");
+        assert_eq!(c.standing().at_call, 0);
+        assert_eq!(c.run_ended(2 * MS, RpcId::of(1), RunEnd::Ok).runs, [RpcId::of(2)]);
+        let answers = c.woken(900 * MS, Gauges::default()).answers;
+        assert_eq!(answers, [(RpcId::of(2), Answer::Aborted)], "once, and it is over");
+        assert!(c.woken(901 * MS, Gauges::default()).answers.is_empty());
+    }
+
     #[test]
     fn a_change_while_cold_goes_on_warming_up_where_it_was() {
         let cold = |now: Us, tip: f64| {
@@ -814,7 +833,9 @@
         let (mut kept, mut changed) = (cold(0, 1.5), cold(0, 1.5));
         kept.started();
         changed.started();
-        changed.change(500 * MS, cold(500 * MS, 1.5), &[0], &[Some(0)]);
+        let same = Method { skip_share: 0.0, ..method(1.0) };
+        changed.stage(&[Term::Method(MethodId(0), Some(same)), Term::Tenant(0, Some(1.0))]);
+        changed.change(500 * MS, Some(cold(500 * MS, 1.5)));
         let count = |c: &mut Control, now: Us, from: u64| {
             (from..from + 40).map(|n| ask(c, now, n, 0).runs.len()).sum::<usize>()
         };
@@ -831,7 +852,7 @@
         for n in 0..3 {
             assert_eq!(ask(&mut c, 0, n, 0).runs.len(), 1);
         }
-        c.change(MS, with(MS, &[1.0], 8, 100.0, 8.0), &[0], &[Some(0)]);
+        c.change(MS, Some(with(MS, &[], 8, 100.0, 8.0)));
         for n in 0..3 {
             c.run_ended(2 * MS, RpcId::of(n), RunEnd::Ok);
         }
@@ -951,7 +972,8 @@
         assert!((inside(0.25) as i64 - 59).abs() < 4, "{}", inside(0.25));
         let mut c = shared(below);
         c.share(0, 0.5);
-        c.change(MS, shared(below), &[0], &[Some(0)]);
+        c.stage(&[Term::Tenant(0, Some(100.0))]);
+        c.change(MS, Some(shared(below)));
         assert_eq!(placed(&mut c, 2), 2, "other settings divide the same");
     }
 
@@ -974,3 +996,90 @@
         assert!(longer.iter().filter(|by| **by > 0).count() > longer.len() / 2, "{longer:?}");
     }
 }
+
+/// Staging and changes at random against a plain map of what is in force.
+#[test]
+fn what_is_staged_shows_only_after_the_change_and_the_peak_is_the_greatest_of_all() {
+    use crate::peak::Peak;
+    use nanorand::{Rng, WyRand};
+    for seed in 0..2_000 {
+        let mut chance = WyRand::new_seed(seed);
+        let (mut staged, mut peak) = (Staged::new([1.0, 2.0]), Peak::new([1.0, 2.0]));
+        let mut now = BTreeMap::from([(0, 1.0), (1, 2.0)]);
+        let (mut last, mut next) = (now.clone(), now.clone());
+        for _ in 0..60 {
+            let place = chance.generate_range(0..12_usize);
+            if chance.generate_range(0..8) == 0 {
+                staged.change();
+                peak.change();
+                now = next.clone();
+                last.extend(now.clone());
+            } else {
+                // A value, an end, or the way back to what is in force.
+                let value = match chance.generate_range(0..4) {
+                    0 => None,
+                    1 => now.get(&place).copied(),
+                    _ => Some(chance.generate_range(0..100_u32) as f64),
+                };
+                staged.stage(place, value);
+                match value {
+                    Some(value) => _ = next.insert(place, value),
+                    None => _ = next.remove(&place),
+                }
+                peak.set(place, now.get(&place).copied(), value);
+            }
+            for place in 0..13 {
+                assert_eq!(staged.get(place), now.get(&place), "seed {seed}");
+                assert_eq!(staged.last(place), last.get(&place), "seed {seed}");
+                assert_eq!(staged.next(place), next.get(&place), "seed {seed}");
+            }
+            let fold = now.values().copied().fold(f64::NEG_INFINITY, f64::max);
+            assert_eq!(peak.greatest().to_bits(), fold.to_bits(), "seed {seed}");
+        }
+    }
+}
+
+/// The same inputs to one that has terms staged and one that has none: nothing of what they hand back differs, until
+/// the change.
+#[test]
+fn decisions_are_the_same_with_terms_staged_and_without() {
+    for seed in 0..100 {
+        let (mut plain, mut staged) =
+            (World::new(Drawn::default(), seed), World::new(Drawn::default(), seed));
+        let method = |n: u64| Method {
+            latency_target: (1 + n) * 300 * MS,
+            deadline: 3_000 * MS,
+            effect: Effect::Idempotent,
+            criticality: n as f64 * 5.0,
+            late_share: 0.0,
+            window: 0,
+            skip_share: 0.0,
+        };
+        for n in 0..200 {
+            let term = Term::Method(MethodId(n as usize % 5), (n % 3 > 0).then(|| method(n % 4)));
+            staged.control.stage(&[term, Term::Tenant(n as usize % 7, Some(0.1))]);
+            let now = 5_000 * MS + n * 7 * MS;
+            let ended = RpcId::of(n.saturating_sub(6));
+            let [one, other] = [&mut plain, &mut staged].map(|world| {
+                let arrival = Arrival {
+                    id: RpcId::of(n),
+                    method: MethodId(n as usize % 2),
+                    caller: CallerId(n % 3),
+                    due: None,
+                    size_kb: 10.0,
+                    unread: 0,
+                    repeat: false,
+                    prior: None,
+                    key: None,
+                };
+                let read = world.control.rpc_read(now, arrival, Some(n as usize % 7));
+                let ended = world.control.run_ended(now + MS, ended, RunEnd::Ok);
+                let woken = world.control.woken(now + 2 * MS, Gauges::default());
+                format!("{read:?} {ended:?} {woken:?} {:?}", world.control.learned())
+            });
+            assert_eq!(one, other, "seed {seed}, input {n}");
+        }
+        staged.control.change(9_000 * MS, None);
+        assert!(staged.control.knows_tenant(6) && !plain.control.knows_tenant(6));
+    }
+}
