agree: a keeper that takes an image in does not end its process any more

The image was applied before raft was told that it stands. The other way round now.

Test: a_keeper_without_its_disk_is_told_all_once_the_log_has_become_an_image (300 changes, a lost disk).

--- a/agree/src/keeper.rs
+++ b/agree/src/keeper.rs
@@ -219,13 +219,14 @@
 
     fn settle(&mut self) {
         let Some(waiting) = self.waiting.pop_front() else { return };
+        // First that it stands: `raft` ends the process over an image that is applied and does not stand yet.
+        self.node.on_persist_ready(waiting.number);
         for record in &waiting.records {
             if let Record::Image(index, _, bytes) = record {
                 self.book = Book::read(bytes).unwrap_or_default();
                 self.node.advance_apply_to(*index);
             }
         }
-        self.node.on_persist_ready(waiting.number);
         self.post(waiting.messages);
     }
 
--- a/agree/src/tests.rs
+++ b/agree/src/tests.rs
@@ -391,6 +391,22 @@
     assert_eq!(net.nodes[2].as_ref().unwrap().book().number(), newest);
 }
 
+#[test]
+fn a_keeper_without_its_disk_is_told_all_once_the_log_has_become_an_image() {
+    let mut net = Net::new(4, 3, 8);
+    net.run(2 * S);
+    for n in 0..300 {
+        net.done(3, vec![put(&format!("t{n}"), Standing::In)]);
+    }
+    net.run(S);
+    let away = (0..3).find(|n| Some(*n) != net.leader()).unwrap();
+    net.kill(away);
+    net.disks[away] = Disk::default();
+    net.start(away);
+    net.run(3 * S);
+    assert_eq!(net.forms(), vec![(Form::Full, 300); 4]);
+}
+
 #[test]
 fn a_copied_history_is_not_believed_and_entries_end_for_all_at_once() {
     let mut net = Net::new(4, 3, 5);
