lab: scale-agree, hollow holders and keepers of agreed versions at the fleet's size

Change: lab/src/scale/agree.rs and agree/world.rs: three keepers and N holders, the real state machines of asterrill-agree with a driver in memory on virtual time; computing is charged to the virtual time of whoever spends it, so that a keeper that is too busy shows.

Each check seen to fail: a lease that never ends (cut: contradicting for longer than is stated), a holder that acts on the version before at times, another hash told for one version, a version told as done that is not there, no change made, all lost at the end (not all act on the newest), computing charged in the quick form (two runs differ).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # What a new checkout needs is a Rust tool chain and the crate registry.
 CONFIG ?= config.json
 
-.PHONY: build test lint run demo lab fleet-gate
+.PHONY: build test lint run demo lab scale fleet-gate
 
 build:
 	cargo build --release --locked
@@ -36,6 +36,15 @@
 	target/release/asterrill-lab config-good --seed 1 --rate 250 --json
 	target/release/asterrill-lab config-crash --json
 	target/release/asterrill-lab config-storm --messages 200 --json
+	target/release/asterrill-lab scale-agree --holders 12 --quick --json
+
+# The fleet's size, a handful of minutes for each line; what is over its budget is printed and is no failure.
+scale: build
+	target/release/asterrill-lab scale-agree --holders 510 --json
+	target/release/asterrill-lab scale-agree --holders 510 --kind dead --json
+	target/release/asterrill-lab scale-agree --holders 510 --kind loss --json
+	target/release/asterrill-lab scale-agree --holders 510 --kind keeper --json
+	target/release/asterrill-lab scale-agree --holders 160 --entries 49000 --json
 
 # The users' standing test, quick: three days of the whole fleet under the fleet's clock. It needs their kit, which is not
 # part of this repository, and the cores to itself; without the kit it says so and fails, as nothing was measured.
--- a/lab/src/fleet/returns.rs
+++ b/lab/src/fleet/returns.rs
@@ -37,6 +37,13 @@
     Odd,
 }
 
+impl Kind {
+    /// By its name, if one is given.
+    pub fn of(name: Option<&str>) -> Result<Option<Kind>, String> {
+        name.map(|name| Kind::from_str(name, true).map_err(|e| format!("--kind {name:?}: {e}"))).transpose()
+    }
+}
+
 const KINDS: [Kind; 6] = [Kind::All, Kind::Most, Kind::Rolling, Kind::StateLost, Kind::BelowLost, Kind::Odd];
 const WARM: u64 = 7_000; // ms of load before anything is measured
 const BEFORE: u64 = 12_000; // ms at which the first fault comes
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod load;
 mod report;
+mod scale;
 mod world;
 
 use clap::{Parser, Subcommand};
@@ -38,9 +39,10 @@
     /// Processes, in scenarios of a fleet
     #[arg(long, global = true, default_value_t = 12)]
     nodes: usize,
-    /// What happens to the fleet, instead of what the seed draws
-    #[arg(long, global = true, value_enum)]
-    kind: Option<fleet::returns::Kind>,
+    /// What happens, by its name in the scenario: of fleet-return, instead of what the seed draws, all, most, rolling,
+    /// state-lost, below-lost or odd; of scale-agree quiet, dead, cut, loss, keeper, disk or crowd
+    #[arg(long, global = true)]
+    kind: Option<String>,
     /// Faults written by hand, one a line (lab/src/fleet/script.rs)
     #[arg(long, global = true)]
     script: Option<std::path::PathBuf>,
@@ -94,6 +96,8 @@
     MembersCpu,
     /// CPU of a framed RPC, this build and another in turns
     FramedCpu,
+    /// Hollow holders of agreed versions and three keepers, at the fleet's size
+    ScaleAgree(scale::agree::Wanted),
 }
 
 impl Scenario {
@@ -119,6 +123,7 @@
             Scenario::ConfigGood => "config-good",
             Scenario::ConfigStorm => "config-storm",
             Scenario::ConfigCrash => "config-crash",
+            Scenario::ScaleAgree(_) => "scale-agree",
         }
     }
     fn play(self, report: &mut Report, to: &Arguments) -> Result<(), Fault> {
@@ -143,7 +148,7 @@
                 let (script, plot, other) = (to.script.clone(), to.plot.clone(), to.other.clone());
                 let terms = fleet::returns::Terms {
                     seed: to.seed,
-                    kind: to.kind,
+                    kind: fleet::returns::Kind::of(to.kind.as_deref())?,
                     nodes: to.nodes.clamp(3, 40),
                     script,
                     plot,
@@ -162,6 +167,9 @@
             Scenario::MembersCpu => {
                 fleet::members::cpu(report, to.seed, to.nodes.clamp(3, 40), span(4), to.rate)
             }
+            Scenario::ScaleAgree(wanted) => {
+                scale::agree::scenario(report, wanted, to.kind.as_deref(), to.seed)
+            }
             Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), to.rate, to.other.as_deref()),
         }
     }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -15,6 +15,9 @@
     pub fn set(&mut self, name: &str, value: Value) {
         self.figures.insert(name.into(), value);
     }
+    pub fn get(&self, name: &str) -> Option<&Value> {
+        self.figures.get(name)
+    }
     /// A rule, named by what is said when it does not hold.
     pub fn rule(&mut self, broken: &str, holds: bool) {
         if !holds && !self.broken.iter().any(|known| known == broken) {
--- /dev/null
+++ b/lab/src/scale/agree/tests.rs
@@ -0,0 +1,22 @@
+//! The quick form is the same each time, and holds its rules.
+
+use super::{scenario, Wanted};
+use crate::report::Report;
+use serde_json::Value;
+
+fn quick(kind: &str, seed: u64) -> Value {
+    let mut report = Report::default();
+    let wanted = Wanted { holders: 12, entries: 300, quick: true, every: 1, free: false };
+    scenario(&mut report, wanted, Some(kind), seed).unwrap();
+    report.json("scale-agree", seed)
+}
+
+#[test]
+fn a_quick_run_is_the_same_each_time_and_holds_the_rules() {
+    for kind in ["quiet", "dead", "cut", "loss", "keeper", "disk", "crowd"] {
+        let one = quick(kind, 3);
+        assert_eq!(one, quick(kind, 3), "{kind}");
+        assert_eq!(one["broken"], Value::Array(Vec::new()), "{kind}: {one}");
+    }
+    assert_ne!(quick("loss", 3)["trace"], quick("loss", 4)["trace"]);
+}
--- /dev/null
+++ b/lab/src/scale/mod.rs
@@ -0,0 +1,3 @@
+//! Scenarios at the size of the fleet ahead.
+
+pub mod agree;
