--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	target/release/asterrill-lab config-crash --json
 	target/release/asterrill-lab config-storm --messages 200 --json
 	target/release/asterrill-lab scale-members --nodes 40 --quick --json
+	target/release/asterrill-lab scale-agree --holders 12 --quick --json
 
 # What the parts cost at the fleet's size: minutes each. Times and CPU are of this machine, and of what else it does.
 scale: build
@@ -45,6 +46,11 @@
 	target/release/asterrill-lab scale-members --nodes 510 --json
 	target/release/asterrill-lab scale-members --nodes 510 --kind zone --json
 	target/release/asterrill-lab scale-members --real 40 --json
+	target/release/asterrill-lab scale-agree --holders 510 --json
+	target/release/asterrill-lab scale-agree --holders 510 --kind dead --json
+	target/release/asterrill-lab scale-agree --holders 510 --kind loss --json
+	target/release/asterrill-lab scale-agree --holders 510 --kind keeper --json
+	target/release/asterrill-lab scale-agree --holders 160 --entries 49000 --json
 
 # The users' standing test, quick: three days of the whole fleet under the fleet's clock. It needs their kit, which is not
 # part of this repository, and the cores to itself; without the kit it says so and fails, as nothing was measured.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -39,8 +39,9 @@
     /// Processes, in scenarios of a fleet
     #[arg(long, global = true, default_value_t = 12)]
     nodes: usize,
-    /// What happens to the fleet, instead of what the seed draws: fleet-return has all, most, rolling, state-lost,
-    /// below-lost and odd; scale-members has calm, quiet, restarts, zone and cut
+    /// What happens, by its name in the scenario: of fleet-return, instead of what the seed draws, all, most, rolling,
+    /// state-lost, below-lost or odd; of scale-members calm, quiet, restarts, zone or cut; of scale-agree quiet, dead, cut,
+    /// loss, keeper, disk or crowd
     #[arg(long, global = true)]
     kind: Option<String>,
     /// Faults written by hand, one a line (lab/src/fleet/script.rs)
@@ -114,6 +115,8 @@
     FramedCpu,
     /// Members in memory on virtual time, at the fleet's size
     ScaleMembers,
+    /// Hollow holders of agreed versions and three keepers, at the fleet's size
+    ScaleAgree(scale::agree::Wanted),
 }
 
 impl Scenario {
@@ -140,6 +143,7 @@
             Scenario::ConfigGood => "config-good",
             Scenario::ConfigStorm => "config-storm",
             Scenario::ConfigCrash => "config-crash",
+            Scenario::ScaleAgree(_) => "scale-agree",
         }
     }
     fn play(self, report: &mut Report, to: &Arguments) -> Result<(), Fault> {
@@ -186,6 +190,9 @@
             Scenario::ScaleMembers => {
                 scale::members::scenario(report, &scale::members::Terms::of(to, to.kind()?))
             }
+            Scenario::ScaleAgree(wanted) => {
+                scale::agree::scenario(report, wanted, to.kind.as_deref(), to.seed)
+            }
             Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), to.rate, to.other.as_deref()),
         }
     }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -19,6 +19,9 @@
     pub fn figure(&self, name: &str) -> Option<f64> {
         self.figures.get(name)?.as_f64()
     }
+    pub fn get(&self, name: &str) -> Option<&Value> {
+        self.figures.get(name)
+    }
     /// A rule, named by what is said when it does not hold.
     pub fn rule(&mut self, broken: &str, holds: bool) {
         if !holds && !self.broken.iter().any(|known| known == broken) {
