Lab: scale-config plays one process with many methods and tenants whose settings change

The fleet ahead has 4,700 methods and 49,000 tenants, and nothing measured what a change of them costs. The scenario plays one real process under RPCs over all of them: changes of one entry (as steps where the build takes them, as whole texts where these fit a request), files read again, a change of everything, undo of each kind, and what is wrong. Who asks all the time gives the longest gap; the agent's own time is taken off each answer; pairs of tenants that come with one change show from outside under which version each of two RPCs was decided.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod load;
 mod report;
+mod scale;
 mod world;
 
 use clap::{Parser, Subcommand};
@@ -29,10 +30,10 @@
     /// Seconds of load, in scenarios that have one
     #[arg(long, global = true)]
     seconds: Option<u64>,
-    /// Framed RPCs a second
-    #[arg(long, global = true, default_value_t = 200.0)]
-    rate: f64,
-    /// Another build of asterrilld, for framed-cpu
+    /// Framed RPCs a second: 200, unless the scenario says another
+    #[arg(long, global = true)]
+    rate: Option<f64>,
+    /// Another build of asterrilld, for framed-cpu and scale-*
     #[arg(long, global = true)]
     other: Option<std::path::PathBuf>,
     /// Processes, in scenarios of a fleet
@@ -50,6 +51,9 @@
     /// Messages, in scenarios that count them
     #[arg(long, global = true)]
     messages: Option<u64>,
+    /// What scale-config and scale-rpc are played at
+    #[command(flatten)]
+    scale: scale::Arguments,
 }
 
 #[derive(Subcommand, Clone, Copy, Debug)]
@@ -94,6 +98,10 @@
     MembersCpu,
     /// CPU of a framed RPC, this build and another in turns
     FramedCpu,
+    /// One process with many methods and tenants, whose configuration changes by entries, by files and as a whole
+    ScaleConfig,
+    /// CPU of an RPC by methods, tenants, callers and entries of lists
+    ScaleRpc,
 }
 
 impl Scenario {
@@ -119,13 +127,16 @@
             Scenario::ConfigGood => "config-good",
             Scenario::ConfigStorm => "config-storm",
             Scenario::ConfigCrash => "config-crash",
+            Scenario::ScaleConfig => "scale-config",
+            Scenario::ScaleRpc => "scale-rpc",
         }
     }
     fn play(self, report: &mut Report, to: &Arguments) -> Result<(), Fault> {
         let span = |seconds| Duration::from_secs(to.seconds.unwrap_or(seconds));
+        let rate = to.rate.unwrap_or(200.0);
         match self {
             Scenario::Demo => amqp::demo(report, to.seed, span(15)),
-            Scenario::AmqpFlood => amqp::flood(report, to.seed, span(10), to.rate),
+            Scenario::AmqpFlood => amqp::flood(report, to.seed, span(10), rate),
             Scenario::AmqpRedeliver => amqp::redeliver(report, to.seed, to.messages.unwrap_or(5_000)),
             Scenario::AmqpDrain => amqp::leave(report, to.seed),
             Scenario::AmqpOdd => amqp::odd(report, to.seed),
@@ -134,11 +145,11 @@
                 let messages = to.messages.unwrap_or(if lost { 20_000 } else { 100_000 });
                 amqp::rate(report, to.seed, messages, lost, to.other.as_deref())
             }
-            Scenario::ConfigRollback => config::rollback(report, to.seed, to.rate),
-            Scenario::ConfigGood => config::good(report, to.seed, to.rate),
+            Scenario::ConfigRollback => config::rollback(report, to.seed, rate),
+            Scenario::ConfigGood => config::good(report, to.seed, rate),
             Scenario::ConfigCrash => config::crash(report, to.seed),
-            Scenario::ConfigStorm => config::storm(report, to.seed, to.messages.unwrap_or(1_000), to.rate),
-            Scenario::RecoveryCpu => amqp::recovery_cpu(report, to.seed, span(4), to.rate),
+            Scenario::ConfigStorm => config::storm(report, to.seed, to.messages.unwrap_or(1_000), rate),
+            Scenario::RecoveryCpu => amqp::recovery_cpu(report, to.seed, span(4), rate),
             Scenario::FleetReturn | Scenario::FleetMembers | Scenario::FleetAgree => {
                 let (script, plot, other) = (to.script.clone(), to.plot.clone(), to.other.clone());
                 let terms = fleet::returns::Terms {
@@ -160,9 +171,15 @@
             Scenario::FleetCold => fleet::narrow::cold(report, to.seed, to.nodes.clamp(3, 40)),
             Scenario::IdleFlood => fleet::narrow::idle_flood(report, to.seed),
             Scenario::MembersCpu => {
-                fleet::members::cpu(report, to.seed, to.nodes.clamp(3, 40), span(4), to.rate)
+                fleet::members::cpu(report, to.seed, to.nodes.clamp(3, 40), span(4), rate)
+            }
+            Scenario::ScaleConfig => {
+                scale::config::scenario(report, to.seed, &to.scale, to.rate, to.other.as_deref())
+            }
+            Scenario::ScaleRpc => {
+                scale::rpc::scenario(report, to.seed, &to.scale, to.rate, to.other.as_deref())
             }
-            Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), to.rate, to.other.as_deref()),
+            Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), rate, to.other.as_deref()),
         }
     }
 }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -24,6 +24,10 @@
     pub fn broken(&self) -> &[String] {
         &self.broken
     }
+    /// The figures, and the rules that were broken.
+    pub fn parts(self) -> (Map<String, Value>, Vec<String>) {
+        (self.figures, self.broken)
+    }
     /// One JSON object.
     pub fn json(mut self, scenario: &str, seed: u64) -> Value {
         self.set("scenario", scenario.into());
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -479,28 +479,38 @@
         setup: &Setup, stand: &Stand, agent: SocketAddr, below: SocketAddr, naming: SocketAddr,
         password: &str,
     ) -> std::io::Result<Node> {
-        static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
-        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let dir = std::env::temp_dir().join(format!("asterrill-lab-{}-{number}", std::process::id()));
-        std::fs::create_dir_all(&dir)?;
         let (name, at) = (&stand.name, stand.at);
         let config = json!({"name": name, "listen": at.to_string(), "agent": agent.to_string(),
             "naming": naming.to_string(), "records": below.to_string(), "seed": "00000000000000a7",
             "stop_ms": setup.stop_ms, "settings": setup.settings(),
             "limits": {"cores": 1.0, "memory_mb": setup.memory_mb, "sockets": setup.sockets}});
-        std::fs::write(dir.join("config.json"), config.to_string())?;
+        let words = |file: &String| {
+            stand.words.iter().fold(file.clone(), |text, (word, means)| text.replace(word, means))
+        };
+        let file = setup.file.as_ref().map(words);
+        Node::of_files(at, &config.to_string(), file.as_deref(), setup.program.clone(), password)
+    }
+
+    /// The same with files as they are given; in the operator's file `{password}` stands for the path of the password
+    /// file, and `{dir}` for the directory of the node.
+    pub fn of_files(
+        at: SocketAddr, config: &str, file: Option<&str>, program: Option<PathBuf>, password: &str,
+    ) -> std::io::Result<Node> {
+        static NEXT: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+        let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("asterrill-lab-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&dir)?;
+        std::fs::write(dir.join("config.json"), config)?;
         let secret = dir.join("password");
         std::fs::write(&secret, password)?;
         std::fs::set_permissions(&secret, std::os::unix::fs::PermissionsExt::from_mode(0o600))?;
         let log = dir.join("log");
-        let program = setup.program.clone().or_else(program);
+        let program = program.or_else(self::program);
         let missing = || std::io::Error::other("asterrilld is not built beside this program");
         let program = program.ok_or_else(missing)?;
-        if let Some(file) = &setup.file {
+        if let Some(file) = file {
             let text = file.replace("{password}", &secret.display().to_string());
-            let text = text.replace("{dir}", &dir.display().to_string());
-            let text = stand.words.iter().fold(text, |text, (word, means)| text.replace(word, means));
-            std::fs::write(dir.join("asterrill.conf"), text)?;
+            std::fs::write(dir.join("asterrill.conf"), text.replace("{dir}", &dir.display().to_string()))?;
         }
         std::fs::File::create(&log)?;
         let child = Node::spawn(&program, &dir, &log)?;
