--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -177,7 +177,7 @@
                 scale::config::scenario(report, to.seed, &to.scale, to.rate, to.other.as_deref())
             }
             Scenario::ScaleRpc => {
-                scale::rpc::scenario(report, to.seed, &to.scale, to.rate, to.other.as_deref())
+                scale::rpc::scenario(report, to.seed, &to.scale, to.rate, to.seconds, to.other.as_deref())
             }
             Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), rate, to.other.as_deref()),
         }
--- a/lab/src/scale/config.rs
+++ b/lab/src/scale/config.rs
@@ -23,7 +23,8 @@
     "cpu_ms_per_refused_reload", "cpu_ms_all", "cpu_ms_all_step", "cpu_ms_all_file", "all_ms_step",
     "all_ms_file", "all_step_error", "cpu_ms_undo", "cpu_ms_undo_all", "undo_ms", "undo_all_ms",
     "undo_file_ms", "gap_ms_max", "gap_ms_max_quiet", "gap_ms_max_changes", "gap_ms_max_reloads",
-    "gap_ms_max_all", "added_ms_p50", "added_ms_p99", "added_ms_p50_quiet", "added_ms_p99_quiet",
+    "gap_ms_max_all", "gap_ms_floor", "gap_ms_floor_quiet", "gap_ms_floor_changes",
+    "gap_ms_floor_reloads", "gap_ms_floor_all", "added_ms_p50", "added_ms_p99", "added_ms_p50_quiet", "added_ms_p99_quiet",
     "added_ms_p50_changes", "added_ms_p99_changes", "added_ms_p99_reloads", "added_ms_p99_all",
     "bytes_per_change", "bytes_per_change_disk", "entry_bytes", "half_applied", "older_after_newer", "pairs",
     "refused", "refused_why", "no_final_answer", "answered_twice", "left_processes", "asked", "ok", "pushed_back", "aborted",
@@ -248,12 +249,12 @@
     (now.cpu_ms(since) - quiet_per_s * now.ms(since) / 1e3).max(0.0)
 }
 
-fn median(all: &mut [f64]) -> Option<f64> {
+pub fn median(all: &mut [f64]) -> Option<f64> {
     all.sort_by(f64::total_cmp);
     all.get(all.len() / 2).copied()
 }
 
-fn rounded(n: f64) -> Value {
+pub fn rounded(n: f64) -> Value {
     json!((n * 1_000.0).round() / 1_000.0)
 }
 
@@ -359,6 +360,7 @@
             continue;
         }
         report.set(&format!("gap_ms_max_{name}"), rounded(span.gap.as_secs_f64() * 1e3));
+        report.set(&format!("gap_ms_floor_{name}"), rounded(span.floor.as_secs_f64() * 1e3));
         report.set(&format!("added_ms_p99_{name}"), added(span, 0.99));
         if at <= CHANGES {
             report.set(&format!("added_ms_p50_{name}"), added(span, 0.5));
@@ -366,6 +368,7 @@
     }
     let Some((first, others)) = spans.split_first() else { return };
     let whole = others.iter().fold(first.clone(), Span::with);
+    report.set("gap_ms_floor", rounded(whole.floor.as_secs_f64() * 1e3));
     report.set("gap_ms_max", rounded(whole.gap.as_secs_f64() * 1e3));
     report.set("added_ms_p50", added(&whole, 0.5));
     report.set("added_ms_p99", added(&whole, 0.99));
@@ -643,7 +646,7 @@
 ) -> Result<(), Fault> {
     let rate = rate.unwrap_or(RATE);
     let (mut these, mut those) = (Vec::new(), Vec::new());
-    for turn in 0..to.turns.max(1) as u64 {
+    for turn in 0..to.turns.unwrap_or(1).max(1) as u64 {
         let (figures, broken) = play(seed + turn, to, rate, None)?;
         these.push(figures);
         broken.iter().for_each(|rule| report.rule(rule, false));
@@ -662,7 +665,7 @@
     report.set("methods", json!(to.methods));
     report.set("tenants", json!(to.tenants));
     report.set("rate", json!(rate));
-    report.set("turns", json!(to.turns));
+    report.set("turns", json!(to.turns.unwrap_or(1)));
     Ok(())
 }
 
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -20,8 +20,8 @@
     #[arg(long, global = true, default_value_t = 20)]
     pub reloads: usize,
     /// Times that all is played, in turns with the other build: medians are told
-    #[arg(long, global = true, default_value_t = 1)]
-    pub turns: usize,
+    #[arg(long, global = true)]
+    pub turns: Option<usize>,
     /// Short spans, for CI: counts, bytes and rules hold, times say little
     #[arg(long, global = true)]
     pub quick: bool,
--- a/lab/src/scale/rig.rs
+++ b/lab/src/scale/rig.rs
@@ -11,6 +11,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::fs::MetadataExt;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -235,12 +236,22 @@
     pub added_us: Histogram<u64>,
     /// The longest time without an answer to the one who asks all the time.
     pub gap: Duration,
+    /// The same of one who asks a stand-in: what this machine does to such a figure by itself.
+    pub floor: Duration,
 }
 
 impl Span {
     fn new() -> Span {
         let added_us = Histogram::new(3).unwrap_or_else(|_| unreachable!("3 digits are allowed"));
-        Span { asked: 0, ok: 0, pushed_back: 0, aborted: 0, added_us, gap: Duration::ZERO }
+        Span {
+            asked: 0,
+            ok: 0,
+            pushed_back: 0,
+            aborted: 0,
+            added_us,
+            gap: Duration::ZERO,
+            floor: Duration::ZERO,
+        }
     }
     /// Microseconds at a quantile, in ms; none where nothing was answered ok.
     pub fn added_ms(&self, quantile: f64) -> Option<f64> {
@@ -254,6 +265,7 @@
         self.aborted += other.aborted;
         self.added_us.add(&other.added_us).unwrap_or_default();
         self.gap = self.gap.max(other.gap);
+        self.floor = self.floor.max(other.floor);
         self
     }
 }
@@ -346,12 +358,18 @@
         let sender = Some(thread::spawn(move || send(lines, habits, &told)));
         Ok(Load { ledger, sender, others })
     }
-    /// Someone who asks all the time whether the process is healthy, on a connection of its own.
+    /// Someone who asks all the time whether the process is healthy, on a connection of its own; and another who asks a
+    /// stand-in the same.
     pub fn asker(&mut self, at: SocketAddr) -> std::io::Result<()> {
-        let to = TcpStream::connect(at)?;
-        to.set_nodelay(true)?;
-        let ledger = self.ledger.clone();
-        self.others.push(thread::spawn(move || ask_on(to, &ledger).unwrap_or_default()));
+        let echo = TcpListener::bind("127.0.0.1:0")?;
+        for (at, floor) in [(at, false), (echo.local_addr()?, true)] {
+            let to = TcpStream::connect(at)?;
+            to.set_nodelay(true)?;
+            let ledger = self.ledger.clone();
+            self.others.push(thread::spawn(move || ask_on(to, &ledger, floor).unwrap_or_default()));
+        }
+        let (answers, _) = echo.accept()?;
+        self.others.push(thread::spawn(move || echo_on(answers).unwrap_or_default()));
         Ok(())
     }
     /// Someone who asks for both tenants of a pair at once, again and again, while one is named by [`Load::pair`].
@@ -456,8 +474,17 @@
     }
 }
 
+/// Answers health checks, and does nothing else.
+fn echo_on(mut from: TcpStream) -> Option<()> {
+    from.set_nodelay(true).ok()?;
+    loop {
+        let (_, stream, _) = frame(&mut from)?;
+        from.write_all(&[&[0, 0, 0, 6, 5][..], &stream.to_be_bytes(), &[0]].concat()).ok()?;
+    }
+}
+
 /// Asks for health, hears, rests a moment, and asks again.
-fn ask_on(mut to: TcpStream, ledger: &Ledger) -> Option<()> {
+fn ask_on(mut to: TcpStream, ledger: &Ledger, floor: bool) -> Option<()> {
     to.set_read_timeout(Some(Duration::from_secs(20))).ok()?;
     let (mut last, mut stream, mut before) = (Instant::now(), 0_u32, ledger.phase());
     while !ledger.ends.load(Ordering::Acquire) {
@@ -474,7 +501,8 @@
         let (gap, phase) = (last.elapsed(), ledger.phase());
         for phase in [before, phase] {
             let mut span = lock(&ledger.spans[phase]);
-            span.gap = span.gap.max(gap);
+            let longest = if floor { &mut span.floor } else { &mut span.gap };
+            *longest = gap.max(*longest);
         }
         if !answered {
             return None;
@@ -568,7 +596,7 @@
         let (from, used) = match &mut self.stream {
             Some(kept) => kept,
             none => {
-                let stream = UnixStream::connect(&self.path)?;
+                let stream = connect(&self.path)?;
                 stream.set_read_timeout(Some(Duration::from_secs(60)))?;
                 stream.set_write_timeout(Some(Duration::from_secs(10)))?;
                 none.insert((BufReader::new(stream), Instant::now()))
@@ -593,6 +621,17 @@
     }
 }
 
+/// The control socket, which may not be there yet at a process that has only just started.
+fn connect(path: &Path) -> std::io::Result<UnixStream> {
+    let until = Instant::now() + Duration::from_secs(3);
+    loop {
+        match UnixStream::connect(path) {
+            Err(_) if Instant::now() < until => thread::sleep(Duration::from_millis(5)),
+            done => return done,
+        }
+    }
+}
+
 /// CPU time of a process, of threads that have ended as well.
 pub struct Meter {
     process: u32,
@@ -663,7 +702,8 @@
 #[derive(Default)]
 pub struct Disk {
     dir: PathBuf,
-    files: BTreeMap<PathBuf, (u64, u64)>,
+    /// Of each, its inode, length and last change.
+    files: BTreeMap<PathBuf, (u64, u64, i64)>,
     pub bytes: u64,
 }
 
@@ -677,9 +717,11 @@
     pub fn look(&mut self) {
         for file in std::fs::read_dir(&self.dir).into_iter().flatten().flatten() {
             let Ok(about) = file.metadata() else { continue };
-            let (inode, length) = (std::os::unix::fs::MetadataExt::ino(&about), about.len());
-            let before = self.files.insert(file.path(), (inode, length));
-            let kept = before.filter(|(was, _)| *was == inode).map_or(0, |(_, length)| length);
+            let (inode, length, at) = (about.ino(), about.len(), about.mtime_nsec());
+            let kept = match self.files.insert(file.path(), (inode, length, at)) {
+                Some((was, before, then)) if was == inode && (before < length || then == at) => before,
+                _ => 0,
+            };
             self.bytes += length.saturating_sub(kept);
         }
     }
@@ -696,16 +738,24 @@
 
 impl Rig {
     pub fn start(site: &Site, program: Option<&Path>, work: Duration) -> Result<Rig, Fault> {
+        Rig::start_with(site, program, work, "")
+    }
+    /// With more sections in the operator's file.
+    pub fn start_with(
+        site: &Site, program: Option<&Path>, work: Duration, sections: &str,
+    ) -> Result<Rig, Fault> {
         let machine = Machine::start(work)?;
         let at = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
         let naming = crate::world::naming()?.0;
         let mut config = json!({"name": "n1", "listen": at.to_string(), "agent": machine.at.to_string(),
             "naming": naming.to_string(), "seed": "00000000000000a7", "stop_ms": 2_000,
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 1_024}});
-        let file = "[changes]\ncontrol {dir}/control\nstate {dir}/state\n[log]\nformat json\n";
+        let file = format!(
+            "[changes]\ncontrol {{dir}}/control\nstate {{dir}}/state\n[log]\nformat json\n{sections}"
+        );
         let text = whole(&mut config, site);
         let start = Instant::now();
-        let node = Node::of_files(at, &text, Some(file), program.map(Path::to_path_buf), "none")?;
+        let node = Node::of_files(at, &text, Some(&file), program.map(Path::to_path_buf), "none")?;
         while TcpStream::connect(at).is_err() {
             if start.elapsed() > Duration::from_secs(20) {
                 return Err(format!("it does not listen: {}", node.read_log()).into());
