--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -29,6 +29,3 @@
     #[arg(long, global = true)]
     pub budgets: bool,
 }
-
-#[cfg(test)]
-mod tests;
--- a/lab/src/scale/rpc.rs
+++ b/lab/src/scale/rpc.rs
@@ -180,6 +180,7 @@
         }
     }
     let mut left = 0;
+    points.iter().for_each(|point| point.rig.node.signal("TERM"));
     for point in &mut points {
         let (code, still) = point.rig.leave();
         left += still;
@@ -237,3 +238,7 @@
     report.set("load", json!(machine_load()));
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "tests/rpc.rs"]
+mod tests;
