Lab: scale-rpc tells this build over the other; even medians in the middle

Need: a ratio to the smallest point of the same build hides what both builds share. ratio_to_other is told at each point, by the median of the ratios within a turn; the median of an even count is the mean of the two in the middle, where it was the upper one.

--- a/lab/src/scale/config.rs
+++ b/lab/src/scale/config.rs
@@ -251,9 +251,11 @@
     (now.cpu_ms(since) - quiet_per_s * now.ms(since) / 1e3).max(0.0)
 }
 
+/// Of an even number the mean of the two in the middle.
 pub fn median(all: &mut [f64]) -> Option<f64> {
     all.sort_by(f64::total_cmp);
-    all.get(all.len() / 2).copied()
+    let (low, high) = (all.get(all.len().checked_sub(1)? / 2)?, all.get(all.len() / 2)?);
+    Some((low + high) / 2.0)
 }
 
 pub fn rounded(n: f64) -> Value {
--- a/lab/src/scale/rpc.rs
+++ b/lab/src/scale/rpc.rs
@@ -131,6 +131,11 @@
         self.most_kb = self.rig.kb("VmHWM").unwrap_or(0);
         Ok(())
     }
+    /// The median of another point's ratios to this one, round by round.
+    fn ratio(&self, of: &Point) -> Option<f64> {
+        let mut all: Vec<f64> = of.cpu_us.iter().zip(&self.cpu_us).map(|(of, this)| of / this).collect();
+        median(&mut all)
+    }
     /// What was found, with the median of ratios to another point, round by round.
     fn told(&self, to: &Point) -> Value {
         let mut all = self.cpu_us.clone();
@@ -188,13 +193,24 @@
     }
     report.set("left_processes", json!(left));
     report.rule("a process was left over", left == 0);
+    // Where another build is played, this one's CPU over the other's at the same point, round by round.
+    let half = if other.is_some() { points.len() / 2 } else { points.len() };
+    let (these, those) = points.split_at(half);
+    let to_other: Vec<Option<f64>> = (0..half).map(|n| those.get(n)?.ratio(&these[n])).collect();
     let mut over = Vec::new();
     for build in [false, true] {
-        let of =
-            |lists: bool| points.iter().filter(move |p| p.other == build && p.entries.is_some() == lists);
+        let of = |lists: bool| {
+            let fits = move |(_, p): &(usize, &Point)| p.other == build && p.entries.is_some() == lists;
+            points.iter().enumerate().filter(fits)
+        };
         let told = |lists: bool| -> Vec<Value> {
-            let first = of(lists).next();
-            first.map_or(Vec::new(), |first| of(lists).map(|point| point.told(first)).collect())
+            let Some((_, first)) = of(lists).next() else { return Vec::new() };
+            let told = |(n, point): (usize, &Point)| {
+                let mut told = point.told(first);
+                told["ratio_to_other"] = json!(to_other.get(n).copied().flatten().map(rounded));
+                told
+            };
+            of(lists).map(told).collect()
         };
         let (plain, listed) = (told(false), told(true));
         if plain.is_empty() {
@@ -219,16 +235,6 @@
             report.set(name, value.clone());
         }
     }
-    // Builds by rounds: this one over the other at the same size.
-    let half = points.len() / 2;
-    if other.is_some() {
-        let ratio = |(this, that): (&Point, &Point)| {
-            let mut all: Vec<f64> = this.cpu_us.iter().zip(&that.cpu_us).map(|(a, b)| a / b).collect();
-            median(&mut all).map(rounded)
-        };
-        let all: Vec<_> = points[..half].iter().zip(&points[half..]).map(ratio).collect();
-        report.set("ratio_to_other", json!(all));
-    }
     if to.budgets {
         over.iter().for_each(|line| report.rule(&format!("over budget: {line}"), false));
     }
--- a/lab/src/scale/tests/config.rs
+++ b/lab/src/scale/tests/config.rs
@@ -32,6 +32,12 @@
     assert_eq!(one["start_ms"], json!(9));
 }
 
+#[test]
+fn a_median_is_in_the_middle() {
+    let of = |all: &[f64]| median(&mut all.to_vec());
+    assert_eq!([of(&[]), of(&[3.0]), of(&[9.0, 1.0, 2.0, 4.0])], [None, Some(3.0), Some(3.0)]);
+}
+
 #[test]
 fn every_field_is_named_once() {
     let mut names = FIELDS.to_vec();
