--- a/Makefile
+++ b/Makefile
@@ -38,9 +38,20 @@
 	target/release/asterrill-lab config-storm --messages 200 --json
 	target/release/asterrill-lab scale-members --nodes 40 --quick --json
 	target/release/asterrill-lab scale-agree --holders 12 --quick --json
+	target/release/asterrill-lab scale-config --methods 40 --tenants 400 --changes 5 --quick --json
+	target/release/asterrill-lab scale-rpc --quick --json
 
-# What the parts cost at the fleet's size: minutes each. Times and CPU are of this machine, and of what else it does.
+# What the parts cost at the fleet's size: a handful of minutes for most lines. Rules are verdicts; what is over a budget is told
+# under "over". Times and CPU are of this machine, and of what else it does. OTHER=PATH plays another asterrilld in turns.
+OTHER ?=
+OTHERS = $(if $(OTHER),--other $(OTHER))
 scale: build
+	target/release/asterrill-lab scale-config --methods 5 --tenants 0 $(OTHERS) --json
+	target/release/asterrill-lab scale-config --methods 470 --tenants 4900 $(OTHERS) --json
+	target/release/asterrill-lab scale-config --methods 1500 --tenants 16000 $(OTHERS) --json
+	target/release/asterrill-lab scale-config --methods 4700 --tenants 49000 $(OTHERS) --json
+	target/release/asterrill-lab scale-config --methods 4700 --tenants 49000 --rate 840 $(OTHERS) --json
+	target/release/asterrill-lab scale-rpc $(OTHERS) --json
 	target/release/asterrill-lab scale-members --nodes 160 --json
 	target/release/asterrill-lab scale-members --nodes 160 --kind cut --json
 	target/release/asterrill-lab scale-members --nodes 510 --json
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -30,10 +30,10 @@
     /// Seconds of load, in scenarios that have one
     #[arg(long, global = true)]
     seconds: Option<u64>,
-    /// Framed RPCs a second
-    #[arg(long, global = true, default_value_t = 200.0)]
-    rate: f64,
-    /// Another build of asterrilld, for framed-cpu
+    /// Framed RPCs a second: 200, unless the scenario says another
+    #[arg(long, global = true)]
+    rate: Option<f64>,
+    /// Another build of asterrilld, for framed-cpu and scale-*
     #[arg(long, global = true)]
     other: Option<std::path::PathBuf>,
     /// Processes, in scenarios of a fleet
@@ -56,12 +56,12 @@
     /// Of 1, the datagrams that get lost, in scale-members
     #[arg(long, global = true, default_value_t = 0.0)]
     loss: f64,
-    /// The small form for CI: counts and bytes, which are the same each time
-    #[arg(long, global = true)]
-    quick: bool,
     /// So many real processes beside as many in memory, in scale-members
     #[arg(long, global = true)]
     real: Option<usize>,
+    /// What the scale scenarios are played at
+    #[command(flatten)]
+    scale: scale::Arguments,
 }
 
 impl Arguments {
@@ -117,6 +117,10 @@
     ScaleMembers,
     /// Hollow holders of agreed versions and three keepers, at the fleet's size
     ScaleAgree(scale::agree::Wanted),
+    /// One process with many methods and tenants, whose configuration changes by entries, by files and as a whole
+    ScaleConfig,
+    /// CPU of an RPC by methods, tenants, callers and entries of lists
+    ScaleRpc,
 }
 
 impl Scenario {
@@ -144,13 +148,16 @@
             Scenario::ConfigStorm => "config-storm",
             Scenario::ConfigCrash => "config-crash",
             Scenario::ScaleAgree(_) => "scale-agree",
+            Scenario::ScaleConfig => "scale-config",
+            Scenario::ScaleRpc => "scale-rpc",
         }
     }
     fn play(self, report: &mut Report, to: &Arguments) -> Result<(), Fault> {
         let span = |seconds| Duration::from_secs(to.seconds.unwrap_or(seconds));
+        let rate = to.rate.unwrap_or(200.0);
         match self {
             Scenario::Demo => amqp::demo(report, to.seed, span(15)),
-            Scenario::AmqpFlood => amqp::flood(report, to.seed, span(10), to.rate),
+            Scenario::AmqpFlood => amqp::flood(report, to.seed, span(10), rate),
             Scenario::AmqpRedeliver => amqp::redeliver(report, to.seed, to.messages.unwrap_or(5_000)),
             Scenario::AmqpDrain => amqp::leave(report, to.seed),
             Scenario::AmqpOdd => amqp::odd(report, to.seed),
@@ -159,11 +166,11 @@
                 let messages = to.messages.unwrap_or(if lost { 20_000 } else { 100_000 });
                 amqp::rate(report, to.seed, messages, lost, to.other.as_deref())
             }
-            Scenario::ConfigRollback => config::rollback(report, to.seed, to.rate),
-            Scenario::ConfigGood => config::good(report, to.seed, to.rate),
+            Scenario::ConfigRollback => config::rollback(report, to.seed, rate),
+            Scenario::ConfigGood => config::good(report, to.seed, rate),
             Scenario::ConfigCrash => config::crash(report, to.seed),
-            Scenario::ConfigStorm => config::storm(report, to.seed, to.messages.unwrap_or(1_000), to.rate),
-            Scenario::RecoveryCpu => amqp::recovery_cpu(report, to.seed, span(4), to.rate),
+            Scenario::ConfigStorm => config::storm(report, to.seed, to.messages.unwrap_or(1_000), rate),
+            Scenario::RecoveryCpu => amqp::recovery_cpu(report, to.seed, span(4), rate),
             Scenario::FleetReturn | Scenario::FleetMembers | Scenario::FleetAgree => {
                 let (script, plot, other) = (to.script.clone(), to.plot.clone(), to.other.clone());
                 let terms = fleet::returns::Terms {
@@ -185,15 +192,22 @@
             Scenario::FleetCold => fleet::narrow::cold(report, to.seed, to.nodes.clamp(3, 40)),
             Scenario::IdleFlood => fleet::narrow::idle_flood(report, to.seed),
             Scenario::MembersCpu => {
-                fleet::members::cpu(report, to.seed, to.nodes.clamp(3, 40), span(4), to.rate)
+                fleet::members::cpu(report, to.seed, to.nodes.clamp(3, 40), span(4), rate)
             }
             Scenario::ScaleMembers => {
                 scale::members::scenario(report, &scale::members::Terms::of(to, to.kind()?))
             }
             Scenario::ScaleAgree(wanted) => {
+                let wanted = scale::agree::Wanted { quick: to.scale.quick, ..wanted };
                 scale::agree::scenario(report, wanted, to.kind.as_deref(), to.seed)
             }
-            Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), to.rate, to.other.as_deref()),
+            Scenario::ScaleConfig => {
+                scale::config::scenario(report, to.seed, &to.scale, to.rate, to.other.as_deref())
+            }
+            Scenario::ScaleRpc => {
+                scale::rpc::scenario(report, to.seed, &to.scale, to.rate, to.seconds, to.other.as_deref())
+            }
+            Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), rate, to.other.as_deref()),
         }
     }
 }
--- a/lab/src/scale/agree.rs
+++ b/lab/src/scale/agree.rs
@@ -63,7 +63,7 @@
     #[arg(long, default_value_t = 10_000)]
     pub entries: usize,
     /// Few changes and nothing that differs from run to run
-    #[arg(long)]
+    #[arg(skip)]
     pub quick: bool,
     /// Seconds between changes: 4 is ten times as many as on an average day
     #[arg(long, default_value_t = 4)]
--- a/lab/src/scale/members.rs
+++ b/lab/src/scale/members.rs
@@ -76,7 +76,14 @@
     pub fn of(to: &crate::Arguments, kind: Option<Kind>) -> Terms {
         let nodes = to.nodes.clamp(SIZES.0, SIZES.1);
         let kind = kind.unwrap_or(Kind::Quiet);
-        Terms { nodes, seed: to.seed, kind, loss: to.loss.clamp(0.0, 0.5), quick: to.quick, real: to.real }
+        Terms {
+            nodes,
+            seed: to.seed,
+            kind,
+            loss: to.loss.clamp(0.0, 0.5),
+            quick: to.scale.quick,
+            real: to.real,
+        }
     }
 }
 
