--- a/consumer/src/lib.rs
+++ b/consumer/src/lib.rs
@@ -32,7 +32,7 @@
 mod window;
 
 pub use queue::{Counts, Do, Offer, Queue, WorkId};
-pub use routes::{Methods, Route, Select, Unrouted};
+pub use routes::{Known, Route, Select, Unrouted};
 pub use window::Window;
 
 use asterrill::Us;
--- a/consumer/src/queue.rs
+++ b/consumer/src/queue.rs
@@ -3,7 +3,7 @@
 
 use crate::due::due;
 use crate::known::{Ended, Identity};
-use crate::routes::{route, Methods, Unrouted};
+use crate::routes::{route, Known, Unrouted};
 use crate::verdict::{verdict, Tried, Verdict};
 use crate::window::{Signs, Window};
 use crate::Terms;
@@ -132,8 +132,6 @@
 /// See the package's page.
 pub struct Queue {
     terms: Terms,
-    methods: Methods,
-    tenants: BTreeMap<String, usize>,
     window: Window,
     line: Line,
     reopen: Us,
@@ -154,15 +152,11 @@
 
 impl Queue {
     /// `number`: of this queue among those of the process, for ids that are its own.
-    pub fn new(
-        now: Us, number: u16, seed: u64, terms: Terms, methods: Methods, tenants: BTreeMap<String, usize>,
-    ) -> Queue {
+    pub fn new(now: Us, number: u16, seed: u64, terms: Terms) -> Queue {
         Queue {
             window: Window::new(now, terms.prefetch),
             ended: Ended::new(terms.remember, terms.remembered),
             terms,
-            methods,
-            tenants,
             line: Line::Down,
             reopen: REOPEN.0,
             next_work: u64::from(number) << 48,
@@ -181,10 +175,10 @@
 
     /// Other terms from now on; what is in hand keeps its due time, method and route. A queue that was left is
     /// consumed again.
-    pub fn change(&mut self, terms: Terms, methods: Methods, tenants: BTreeMap<String, usize>) {
+    pub fn change(&mut self, terms: Terms) {
         self.window.bound(terms.prefetch);
         self.ended.bound(terms.remember, terms.remembered);
-        (self.terms, self.methods, self.tenants, self.leaving) = (terms, methods, tenants, false);
+        (self.terms, self.leaving) = (terms, false);
     }
 
     pub fn terms(&self) -> &Terms {
@@ -387,8 +381,8 @@
         self.todo.push_back(Do::Offer(work.offer.clone()));
     }
 
-    /// A message was delivered.
-    pub fn delivered(&mut self, now: Us, delivery: Delivery) {
+    /// A message was delivered. Its route is by the methods and tenants that are in force now.
+    pub fn delivered(&mut self, now: Us, delivery: Delivery, known: &dyn Known) {
         self.counts.deliveries += 1;
         self.counts.redelivered += u64::from(delivery.redelivered);
         self.reopen = REOPEN.0;
@@ -402,7 +396,7 @@
             return self.turn_away(tag);
         }
         let by = (&self.terms.method, &self.terms.tenant, &self.terms.caller);
-        let to = match route(&delivery.headers, &self.terms.queue, by, &self.methods, &self.tenants) {
+        let to = match route(&delivery.headers, &self.terms.queue, by, known) {
             Ok(to) => to,
             Err(why) => return self.unrouted(tag, &why),
         };
--- a/consumer/src/routes.rs
+++ b/consumer/src/routes.rs
@@ -6,8 +6,15 @@
 use std::fmt;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The methods there are, by their names, with their effects.
-pub type Methods = BTreeMap<String, (MethodId, Effect)>;
+/// Who knows the methods and tenants that there are: one for all queues, asked by name at each delivery.
+pub trait Known {
+    /// A method that is in force, with its effect.
+    fn method(&self, name: &str) -> Option<(MethodId, Effect)>;
+    /// The place of a tenant that is in force.
+    fn tenant(&self, name: &str) -> Option<usize>;
+    /// Tenants are told apart: what is of none of them goes nowhere.
+    fn tells_tenants(&self) -> bool;
+}
 
 /// Where a value comes from: a header, whose texts may stand for others, or what is said for the whole queue.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -66,17 +73,15 @@
 /// Routes a delivery. Where tenants are told apart, it is of one of them. A caller that is no number, and that
 /// of a queue for which none is set, is numbered by its name, apart from the numbers of sidecars.
 pub fn route(
-    headers: &Headers, queue: &str, (method, tenant, caller): (&Select, &Select, &Select), methods: &Methods,
-    tenants: &BTreeMap<String, usize>,
+    headers: &Headers, queue: &str, (method, tenant, caller): (&Select, &Select, &Select), known: &dyn Known,
 ) -> Result<Route, Unrouted> {
     let name = method.of(headers);
     let (method, effect) = name
-        .and_then(|name| methods.get(name))
-        .copied()
+        .and_then(|name| known.method(name))
         .ok_or_else(|| Unrouted::Method(name.map(str::to_string)))?;
     let name = tenant.of(headers);
-    let tenant = name.and_then(|name| tenants.get(name)).copied();
-    if tenant.is_none() && !tenants.is_empty() {
+    let tenant = name.and_then(|name| known.tenant(name));
+    if tenant.is_none() && known.tells_tenants() {
         return Err(Unrouted::Tenant(name.map(str::to_string)));
     }
     let told = caller.of(headers).unwrap_or(queue);
--- a/consumer/src/tests.rs
+++ b/consumer/src/tests.rs
@@ -2,7 +2,7 @@
 
 use crate::known::{Ended, Identity};
 use crate::window::{Signs, Window};
-use crate::{Do, Methods, Queue, Select, Terms, WorkId};
+use crate::{Do, Known, Queue, Select, Terms, WorkId};
 use asterrill::{Effect, Final, MethodId, Us};
 use asterrill_protocol::amqp::{Channel, Delivery, Headers, Settle, Tag};
 use quickcheck::Gen;
@@ -28,10 +28,21 @@
     }
 }
 
-fn methods() -> Methods {
-    let of = |(i, (name, effect)): (usize, (&str, Effect))| (name.to_string(), (MethodId(i), effect));
-    let all = [("read", Effect::Idempotent), ("keyed", Effect::Tokened), ("pay", Effect::NonIdempotent)];
-    all.into_iter().enumerate().map(of).collect()
+/// Three methods; tenants are not told apart.
+struct Three;
+
+impl Known for Three {
+    fn method(&self, name: &str) -> Option<(MethodId, Effect)> {
+        let all = [("read", Effect::Idempotent), ("keyed", Effect::Tokened), ("pay", Effect::NonIdempotent)];
+        let place = all.iter().position(|(known, _)| *known == name)?;
+        Some((MethodId(place), all[place].1))
+    }
+    fn tenant(&self, _: &str) -> Option<usize> {
+        None
+    }
+    fn tells_tenants(&self) -> bool {
+        false
+    }
 }
 
 /// A message in the broker.
@@ -114,7 +125,7 @@
 
 impl World {
     fn new(terms: Terms) -> World {
-        let queue = Queue::new(S, 1, 5, terms, methods(), BTreeMap::new());
+        let queue = Queue::new(S, 1, 5, terms);
         let mut world = World {
             queue,
             now: S,
@@ -243,7 +254,7 @@
                     size: 1,
                     body: Some(message.name.to_string().into_bytes()),
                 };
-                self.queue.delivered(self.now, delivery);
+                self.queue.delivered(self.now, delivery, &Three);
                 self.todo();
             }
         }
@@ -586,7 +597,7 @@
     w.launch();
     let mut other = terms("keyed");
     (other.attempts, other.prefetch, other.bound) = (1, 4, S);
-    w.queue.change(other.clone(), methods(), BTreeMap::new());
+    w.queue.change(other.clone());
     w.end(false); // read as one that may run again: it does, by the new number of attempts it may not
     assert_eq!((w.ends[&1].as_slice(), w.queue.counts.poisoned), (&[Settle::Reject][..], 1));
     w.deliver(1, false);
@@ -598,7 +609,7 @@
     w.launch();
     w.end(true);
     assert!(w.queue.left() && w.ends[&2] == [Settle::Ack]);
-    w.queue.change(other, methods(), BTreeMap::new());
+    w.queue.change(other);
     w.now += 2 * S;
     w.look(8.0);
     w.publish(3, true, false);
@@ -662,7 +673,7 @@
         size: 60_000_000,
         body: None,
     };
-    w.queue.delivered(w.now, delivery);
+    w.queue.delivered(w.now, delivery, &Three);
     assert_eq!((w.queue.todo(), w.queue.counts.too_long), (Some(Do::Settle(tag, Settle::Reject)), 1));
 }
 
--- a/recovery/src/lib.rs
+++ b/recovery/src/lib.rs
@@ -41,4 +41,4 @@
 pub use sealed::{open, seal, SealFault, MOST};
 pub use spread::{phase, seed, Beat};
 pub use stages::{Evidence, Stage, Stages};
-pub use weigh::{weigh, Present, Recall, Value, Verdict, Why, DEAREST, KEPT_RUNS, STATED};
+pub use weigh::{weigh, Present, Recall, Targets, Value, Verdict, Why, DEAREST, KEPT_RUNS, STATED};
--- a/recovery/src/weigh.rs
+++ b/recovery/src/weigh.rs
@@ -20,8 +20,25 @@
 const TROUBLE: Us = 60_000_000; // failures of the layer below are a reason for care so long
 const FULL: f64 = 0.5; // shortest latency targets in which an account fills up (buf_limit over mrr)
 
+/// The latency targets of the methods that there are, in microseconds.
+pub trait Targets {
+    /// None for a method that is not known.
+    fn target(&self, name: &str) -> Option<Us>;
+    /// The shortest of all; 0 where there is no method.
+    fn shortest(&self) -> Us;
+}
+
+impl Targets for BTreeMap<String, Us> {
+    fn target(&self, name: &str) -> Option<Us> {
+        self.get(name).copied()
+    }
+    fn shortest(&self) -> Us {
+        self.values().min().copied().unwrap_or(0)
+    }
+}
+
 /// What this start is like.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Present<'a> {
     pub name: &'a str,
     pub settings: u64,
@@ -32,8 +49,7 @@
     pub empty: bool,
     /// How old a snapshot may be at all, in microseconds.
     pub trust: Us,
-    /// Of each method its latency target, in microseconds.
-    pub targets: &'a BTreeMap<String, Us>,
+    pub targets: &'a dyn Targets,
 }
 
 /// The kinds of values.
@@ -117,7 +133,7 @@
     let weight = 0.5_f64.powf(age as f64 / HALF + f64::from(halves));
     for method in &kept.methods {
         let runs = method.runs.min(KEPT_RUNS) * weight;
-        if now.targets.get(&method.name) == Some(&method.target) && runs >= LEAST && method.mean > 0.0 {
+        if now.targets.target(&method.name) == Some(method.target) && runs >= LEAST && method.mean > 0.0 {
             let mean = method.mean.min(method.target as f64 * DEAREST);
             recall.costs.push((method.name.clone(), mean, runs));
         }
@@ -147,7 +163,7 @@
         (_, false) => Verdict::Thrown(Why::TooOld),
     };
     recall.verdicts.push((Value::Breaker, breaker));
-    let shortest = now.targets.values().min().copied().unwrap_or(0);
+    let shortest = now.targets.shortest();
     let accounts = verdict(within((shortest as f64 * FULL) as Us, false), !kept.accounts.is_empty());
     if accounts == Verdict::Taken {
         recall.accounts = kept.accounts.clone();
