--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -2,7 +2,8 @@
 //! socket. Exit codes: 0 done; 1 the answer is no (a mistake, a refusal, a difference); 2 the arguments; 3 nobody
 //! answered.
 
-use asterrill_rollout::{check, difference, facts, Facts, Problem, Seen};
+use asterrill_entries::{read_step, Change, Content, Kind, Step};
+use asterrill_rollout::{check, difference, Problem, Seen};
 use clap::{CommandFactory, Parser, Subcommand};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -31,10 +32,16 @@
 enum ToDo {
     /// Check a file by itself: a configuration in JSON, or an operator's file
     Check { file: PathBuf },
-    /// What changes from one configuration to another, by meaning; exit code 1 if anything does
-    Diff { old: PathBuf, new: PathBuf },
-    /// Hand a file in: it is checked against what runs, and has no effect yet
+    /// What changes from one configuration to another, or by a step of entries, by meaning; exit code 1 if anything does
+    Diff {
+        /// A configuration; or, where nothing follows, what is compared with what the backend runs
+        old: PathBuf,
+        /// A configuration, or a step: a file with one entry a line, or -
+        new: Option<PathBuf>,
+    },
+    /// Hand a file in, or a step of entries: it is checked against what runs, and has no effect yet
     Stage {
+        /// A configuration, an operator's file, or a step: a file with one entry a line, or -
         file: PathBuf,
         /// The version that it was made from
         #[arg(long)]
@@ -46,8 +53,13 @@
         #[arg(long)]
         queue: bool,
     },
-    /// Let the staged version run, on probation
+    /// Let the staged version run, on probation; with a file, that is handed in first
     Apply {
+        /// As for stage
+        file: Option<PathBuf>,
+        /// Take it although it is risky, or was undone before
+        #[arg(long, requires = "file")]
+        force: bool,
         /// Only if this version runs
         #[arg(long)]
         if_base: Option<u64>,
@@ -184,15 +196,49 @@
     Answer { told: json!({"ok": false, "error": why.into()}), code: 1 }
 }
 
+/// The text of a file, or of the standard input.
 fn text(file: &Path) -> Result<String, Answer> {
-    std::fs::read_to_string(file).map_err(|e| no(format!("{}: {e}", file.display())))
+    let read = if file.as_os_str() == "-" {
+        let mut text = String::new();
+        std::io::stdin().lock().read_to_string(&mut text).map(|_| text)
+    } else {
+        std::fs::read_to_string(file)
+    };
+    read.map_err(|e| no(format!("{}: {e}", file.display())))
+}
+
+const ENTRY: usize = 1 << 20; // bytes of a step's line at the most
+
+/// Whether a text is a step: its first line is a JSON object that puts, takes, gives a frame, or says what it was made
+/// from. That of a configuration names none of these at its top.
+fn is_step(text: &str) -> bool {
+    let first = text.trim_start().lines().next().filter(|line| line.starts_with('{') && line.len() <= ENTRY);
+    let first = first.and_then(|line| serde_json::from_str::<Value>(line).ok());
+    first.is_some_and(|line| ["put", "take", "frame", "base", "hash"].iter().any(|key| line.get(key).is_some()))
 }
 
-/// The figures of a configuration in JSON.
-fn figures(file: &Path) -> Result<Facts, Answer> {
-    let fault = |e: asterrill_settings::Fault| no(format!("{}: {e}", file.display()));
-    let deployment = asterrill_settings::read(&text(file)?).map_err(fault)?;
-    facts(&deployment.server).map_err(fault)
+/// What a request hands in: a step, or a file's whole text.
+fn handed(file: &Path, mut request: Value) -> Result<Value, Answer> {
+    let text = text(file)?;
+    request[if is_step(&text) { "step" } else { "text" }] = json!(text);
+    Ok(request)
+}
+
+/// The entries of a configuration in JSON.
+fn entries(file: &Path, text: &str) -> Result<Content, Answer> {
+    let read = asterrill_settings::read_from(text.as_bytes(), None);
+    read.map(|deployment| deployment.content).map_err(|fault| no(format!("{}: {fault}", file.display())))
+}
+
+/// What a step makes of a version.
+fn step(file: &Path, text: &str, on: &Content) -> Result<Vec<Change>, Answer> {
+    let named = |why: String| no(format!("{}: {why}", file.display()));
+    let Step { hash, changes, .. } = read_step(text, on).map_err(|fault| named(fault.to_string()))?;
+    if let Some(hash) = hash.filter(|hash| *hash != on.digest()) {
+        return Err(named(format!("it was made from hash {hash}, not from {}", on.digest())));
+    }
+    let after = on.apply(&changes).map_err(|refused| named(refused.to_string()))?;
+    Ok(on.changes_to(&after))
 }
 
 fn check_file(file: &Path) -> Result<Answer, Answer> {
@@ -203,12 +249,49 @@
         let queues = parsed.broker.map_or(0, |broker| broker.queues.len());
         return Ok(yes(json!({"ok": true, "kind": "operator's file", "queues": queues})));
     }
-    let facts = figures(file)?;
+    if is_step(&content) {
+        return Err(no(format!("{}: a step is checked against what it changes: diff", file.display())));
+    }
+    let content = entries(file, &content)?;
     // Against itself, as nothing runs here: only what is wrong by itself shows.
-    let problems = check(&facts, &facts, &Seen::default(), f64::INFINITY);
+    let all = Content::new(content.frame().as_ref().clone()).changes_to(&content);
+    let problems = check(&content, &content, &all, &Seen::default(), f64::INFINITY);
     let shown: Vec<String> = problems.iter().map(Problem::to_string).collect();
-    let methods = facts.methods.len();
-    Ok(yes(json!({"ok": shown.is_empty(), "kind": "configuration", "methods": methods, "problems": shown})))
+    let [methods, tenants] = [Kind::Method, Kind::Tenant].map(|kind| content.count(kind));
+    Ok(yes(json!({"ok": shown.is_empty(), "kind": "configuration", "methods": methods, "tenants": tenants,
+        "hash": content.digest().to_string(), "problems": shown})))
+}
+
+/// What changes from one file to another.
+fn compare(old: &Path, new: &Path) -> Result<Answer, Answer> {
+    let (from, to) = (entries(old, &text(old)?)?, text(new)?);
+    let changes = if is_step(&to) { step(new, &to, &from)? } else { from.changes_to(&entries(new, &to)?) };
+    let code = u8::from(!changes.is_empty());
+    let mut lines = difference(&from, &changes);
+    if lines.is_empty() && code > 0 {
+        lines.push("figures of the frame that are not listed".into());
+    }
+    Ok(Answer { told: json!({"ok": true, "changes": lines, "entries": changes.len()}), code })
+}
+
+/// Hands a file in and lets it run. What is not taken up is not left staged.
+fn apply(
+    socket: Option<&Path>, file: &Path, force: bool, if_base: Option<u64>, probation: Option<u64>,
+) -> Result<Answer, Answer> {
+    let stage = handed(file, json!({"do": "stage", "base": if_base, "force": force, "queue": false}))?;
+    let mut staged = ask(socket, stage);
+    if staged.code != 0 {
+        return Ok(staged);
+    }
+    let applied = ask(socket, json!({"do": "apply", "if_base": if_base, "probation_us": probation}));
+    if applied.code != 0 {
+        ask(socket, json!({"do": "drop"}));
+        return Ok(applied);
+    }
+    for (name, value) in applied.told.as_object().into_iter().flatten() {
+        staged.told[name] = value.clone();
+    }
+    Ok(staged)
 }
 
 /// Asks the daemon one thing.
@@ -221,10 +304,14 @@
         let mut stream = UnixStream::connect(path)?;
         stream.set_read_timeout(Some(WITHIN))?;
         stream.set_write_timeout(Some(WITHIN))?;
-        stream.write_all(format!("{request}\n").as_bytes())?;
+        // What is refused before it was read whole is answered all the same.
+        let written = stream.write_all(format!("{request}\n").as_bytes());
         let mut line = String::new();
-        BufReader::new(stream).take(ANSWER).read_line(&mut line)?;
-        Ok(line)
+        let read = BufReader::new(stream).take(ANSWER).read_line(&mut line);
+        if line.is_empty() {
+            written?;
+        }
+        read.map(|_| line)
     };
     let told = exchange().map_err(|e| e.to_string());
     match told
@@ -242,16 +329,27 @@
     let ask = |request| Ok(ask(arguments.socket.as_deref(), request));
     match &arguments.to_do {
         ToDo::Check { file } => check_file(file),
-        ToDo::Diff { old, new } => {
-            let lines = difference(&figures(old)?, &figures(new)?);
-            let code = u8::from(!lines.is_empty());
-            Ok(Answer { told: json!({"ok": true, "changes": lines}), code })
+        ToDo::Diff { old, new: Some(new) } => {
+            let mut answer = compare(old, new)?;
+            if !arguments.json {
+                answer.told.as_object_mut().into_iter().for_each(|told| drop(told.remove("entries")));
+            }
+            Ok(answer)
+        }
+        ToDo::Diff { old: file, new: None } => {
+            let mut answer = ask(handed(file, json!({"do": "diff"}))?)?;
+            if answer.code == 0 && answer.told["entries"] != json!(0) {
+                answer.code = 1;
+            }
+            Ok(answer)
         }
         ToDo::Stage { file, base, force, queue } => {
-            let text = text(file)?;
-            ask(json!({"do": "stage", "text": text, "base": base, "force": force, "queue": queue}))
+            ask(handed(file, json!({"do": "stage", "base": base, "force": force, "queue": queue}))?)
+        }
+        ToDo::Apply { file: Some(file), force, if_base, probation } => {
+            apply(arguments.socket.as_deref(), file, *force, *if_base, *probation)
         }
-        ToDo::Apply { if_base, probation } => {
+        ToDo::Apply { file: None, if_base, probation, .. } => {
             ask(json!({"do": "apply", "if_base": if_base, "probation_us": probation}))
         }
         ToDo::Status => ask(json!({"do": "status"})),
--- a/daemon/src/change.rs
+++ b/daemon/src/change.rs
@@ -1,74 +1,128 @@
-//! Changes of the configuration, carried out: versions come from signals and from the control socket, are checked
-//! against what the server sees, applied in one input of the core, watched, and written down.
+//! Changes of the configuration, carried out: versions come from signals and from the control socket, are read and
+//! checked against what runs off the worker, put in slice by slice on it, come into force in one input of the core, are
+//! watched, and written down.
 
-use crate::core::Core;
+use crate::core::{Core, Flip};
 use crate::hub::Hub;
 use crate::operator;
 use crate::store::Store;
 use asterrill::Us;
 use asterrill_conf::File;
+use asterrill_entries::{read_step, Change as Entry, Content as Entries, Kind};
 use asterrill_net::now;
-use asterrill_recovery::Learned;
 use asterrill_rollout::{
-    check, difference, facts, Before, Change, Event, Facts, Problem, Rollout, Stage, Verdict, Watch, Wish,
+    check, difference, hash, Before, Change, Event, Hash, Kept, Marked, Problem, Refusal, Rollout, Seen, Stage,
+    State, Verdict, Version, Watch, Wish,
 };
 use asterrill_settings::{Deployment, Fault};
 use serde_json::{json, Value};
 use slog::{info, warn, Logger};
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard};
 
 const SAMPLE: Us = 100_000; // between looks at what was served
-const SEAM: &str = "\n---\n"; // between the settings and the operator's file in a version's text
+/// Entries of a change that go in together: then all others get their turn. Measured: see `docs/design/rollout.md`.
+const SLICE: usize = 200;
 
-/// What one version says.
+/// What one version says: the entries, and the operator's file. Cheap to copy.
 #[derive(Clone, Debug)]
 pub struct Content {
-    pub settings: Value,
-    pub memory_mb: u64,
-    pub sockets: u64,
-    pub file: File,
-    file_text: String,
+    pub entries: Entries,
+    pub file: Arc<File>,
+    text: Arc<str>,
 }
 
 impl Content {
-    pub fn new(to: &Deployment, file: File, file_text: &str) -> Content {
-        let (settings, file_text) = (to.server.clone(), file_text.to_string());
-        Content { settings, memory_mb: to.memory_mb, sockets: to.sockets, file, file_text }
-    }
-    /// Its text: the same for the same meaning of the settings.
-    pub fn text(&self) -> String {
-        let limits = json!({"memory_mb": self.memory_mb, "sockets": self.sockets});
-        let settings = json!({"settings": self.settings, "limits": limits});
-        format!("{settings}{SEAM}{}", self.file_text)
-    }
-    /// The version that a text stands for.
-    pub fn parse(text: &str) -> Result<Content, Fault> {
-        let (json, file_text) = text.split_once(SEAM).unwrap_or((text, ""));
-        let value: Value = serde_json::from_str(json).map_err(|e| Fault::new(format!("not JSON: {e}")))?;
-        let limits = asterrill_settings::part(&value, "limits")?;
-        let settings = asterrill_settings::part(&value, "settings")?.clone();
-        asterrill_settings::server(0, 0, &settings, None)?;
-        let file = asterrill_conf::parse("operator's file", file_text);
-        Ok(Content {
-            settings,
-            memory_mb: asterrill_settings::integer(limits, "memory_mb")?,
-            sockets: asterrill_settings::integer(limits, "sockets")?,
-            file: file.map_err(|mistake| Fault::new(mistake.to_string()))?,
-            file_text: file_text.into(),
-        })
+    pub fn new(entries: Entries, file: File, text: &str) -> Content {
+        Content { entries, file: Arc::new(file), text: text.into() }
+    }
+    /// Its hash: the same for the same meaning of the entries.
+    pub fn hash(&self) -> Hash {
+        hash(&self.entries, &self.text)
+    }
+    /// The version as it lasts.
+    fn kept(&self, number: u64) -> Kept {
+        Kept { number, content: self.entries.clone(), file: self.text.clone() }
+    }
+    /// The version that was kept.
+    pub fn recall(kept: &Kept) -> Result<Content, Fault> {
+        let file = asterrill_conf::parse("operator's file", &kept.file);
+        let file = file.map_err(|mistake| Fault::new(mistake.to_string()))?;
+        Ok(Content { entries: kept.content.clone(), file: Arc::new(file), text: kept.file.clone() })
+    }
+    /// A hash of the entries alone.
+    pub fn settings(&self) -> u64 {
+        asterrill_recovery::seed(0, &self.entries.digest().to_string(), 0, 0)
+    }
+}
+
+/// What runs, for threads that read a file beside it: what is the same is shared.
+pub struct Running(Mutex<Content>);
+
+impl Running {
+    pub fn new(content: &Content) -> Running {
+        Running(Mutex::new(content.clone()))
+    }
+    pub fn get(&self) -> Content {
+        self.lock().clone()
+    }
+    fn set(&self, content: &Content) {
+        let before = std::mem::replace(&mut *self.lock(), content.clone());
+        drop(before);
+    }
+    fn lock(&self) -> MutexGuard<'_, Content> {
+        self.0.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
 
-/// What an operator asks for, by the control socket or a signal.
+/// What is handed in.
 #[derive(Clone, Debug)]
-pub enum Wanted {
+pub enum What {
     /// A file's text: settings in JSON, or an operator's file.
-    Stage {
-        text: String,
-        base: Option<u64>,
-        wish: Wish,
-    },
+    Text(String),
+    /// A step, one entry a line.
+    Step(String),
+    /// Settings that were read already.
+    Entries(Entries),
+}
+
+/// A change, as it was asked for.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub what: What,
+    /// The version that it was made from, where that is told.
+    pub base: Option<u64>,
+    pub wish: Wish,
+}
+
+/// What a change is read and checked against.
+pub struct Glance {
+    number: u64,
+    running: Content,
+    seen: Seen,
+}
+
+/// A change that was read and checked against a version. Cheap to copy.
+#[derive(Clone, Debug)]
+pub struct Prepared {
+    /// That version.
+    against: u64,
+    content: Content,
+    hash: Hash,
+    /// What leads there from that version.
+    step: Arc<[Entry]>,
+    base: Option<u64>,
+    wish: Wish,
+    /// What it means, a line each, and what is risky about it.
+    meaning: Vec<String>,
+    problems: Vec<String>,
+}
+
+/// What an operator asks the worker for.
+#[derive(Clone, Debug)]
+pub enum Wanted {
+    Stage(Box<Prepared>),
     Apply {
         if_base: Option<u64>,
         probation: Option<Us>,
@@ -97,9 +151,119 @@
     pub factor: f64,
 }
 
+/// Reads a change and checks it against what runs. Costs what the change takes to read, and what differs; nothing of it
+/// is done on the worker. The error is the answer.
+pub fn prepare(glance: &Glance, asked: Asked, terms: Terms, seed: u64) -> Result<Prepared, Told> {
+    let Asked { what, base, wish } = asked;
+    let running = &glance.running;
+    let from = |base: Option<u64>| match base.filter(|given| *given != glance.number) {
+        Some(given) => Err(refused(&Refusal::OtherBase { given, running: glance.number }.to_string())),
+        None => Ok(()),
+    };
+    from(base)?;
+    let mut content = running.clone();
+    match what {
+        What::Entries(entries) => content.entries = entries,
+        What::Step(text) => {
+            let step = read_step(&text, &running.entries).map_err(|fault| refused(&fault.to_string()))?;
+            from(step.base)?;
+            let digest = running.entries.digest();
+            if let Some(given) = step.hash.filter(|given| *given != digest) {
+                return Err(refused(&format!("it was made from hash {given}, but {digest} runs")));
+            }
+            let applied = running.entries.apply(&step.changes);
+            content.entries = applied.map_err(|fault| refused(&fault.to_string()))?;
+        }
+        What::Text(text) if text.trim_start().starts_with('{') => {
+            let to = asterrill_settings::read_from(text.as_bytes(), Some(&running.entries));
+            content.entries = to.map_err(|fault| refused(&fault.to_string()))?.content;
+        }
+        What::Text(text) => {
+            let file = asterrill_conf::parse("operator's file", &text);
+            content.file = Arc::new(file.map_err(|mistake| refused(&mistake.to_string()))?);
+            content.text = text.into();
+        }
+    }
+    let step: Arc<[Entry]> = running.entries.changes_to(&content.entries).into();
+    // What is booked now is a part of what there is.
+    let (old, new) = (running.entries.frame(), content.entries.frame());
+    let free = free_kb();
+    let seen = Seen { free_kb: free.map_or(0.0, |free| free + old.ram_kb), ..glance.seen.clone() };
+    let more = new.memory_mb.saturating_sub(old.memory_mb) as f64 * 1024.0;
+    if free.is_some_and(|free| more > free) {
+        return Err(refused(&format!("it wants {more:.0} kB more for itself than there are free")));
+    }
+    let problems = check(&running.entries, &content.entries, &step, &seen, terms.factor);
+    let stops = |p: &Problem| matches!(p, Problem::Wrong(_)) || !wish.force;
+    let shown: Vec<String> = problems.iter().map(Problem::to_string).collect();
+    if problems.iter().any(stops) {
+        return Err(json!({"ok": false, "error": "it does not pass the checks", "problems": shown}));
+    }
+    could_carry_out(running, &content, &step, seed).map_err(|fault| refused(&fault.to_string()))?;
+    let (meaning, hash) = (difference(&running.entries, &step), content.hash());
+    Ok(Prepared { against: glance.number, content, hash, step, base, wish, meaning, problems: shown })
+}
+
+impl Prepared {
+    /// What it would mean, as an answer.
+    pub fn told(&self) -> Told {
+        json!({"ok": true, "base": self.against, "hash": &*self.hash, "entries": self.step.len(),
+            "changes": self.meaning, "problems": self.problems})
+    }
+}
+
+/// Whether all that a version says could come into force.
+fn could_carry_out(running: &Content, content: &Content, step: &[Entry], seed: u64) -> Result<(), Fault> {
+    bare(content, step, seed)?;
+    operator::terms(content.file.broker.as_ref(), &content.entries)?;
+    let bare = |file: &File| file.broker.clone().map(asterrill_conf::Broker::without_queues);
+    if bare(&content.file) != bare(&running.file)
+        || content.file.changes != running.file.changes
+        || content.file.recovery != running.file.recovery
+        || content.file.members != running.file.members
+        || content.file.fleet != running.file.fleet
+    {
+        return Err(Fault::new(
+            "[broker], [changes], [recovery], [members], [fleet] and [log] are taken up at the next start only"
+                .into(),
+        ));
+    }
+    Ok(())
+}
+
+/// The parts of the module that are no entries, if a change touches them: methods do, by the shortest and longest of
+/// their times.
+fn bare(content: &Content, step: &[Entry], seed: u64) -> Result<Option<asterrill_settings::Bare>, Fault> {
+    let tenant = |entry: &Entry| matches!(entry, Entry::PutTenant(..) | Entry::TakeTenant(_));
+    if step.iter().all(tenant) {
+        return Ok(None);
+    }
+    asterrill_settings::frame(now(), seed, &content.entries).map(Some)
+}
+
+/// What undoes an entry: what `before` says of its key.
+fn back(entry: &Entry, before: &Entries) -> Entry {
+    match entry {
+        Entry::Frame(_) => Entry::Frame(before.frame().clone()),
+        Entry::PutMethod(name, _) | Entry::TakeMethod(name) => match before.method(name) {
+            Some(method) => Entry::PutMethod(name.clone(), method.clone()),
+            None => Entry::TakeMethod(name.clone()),
+        },
+        Entry::PutTenant(name, _) | Entry::TakeTenant(name) => match before.tenant(name) {
+            Some(rate) => Entry::PutTenant(name.clone(), rate),
+            None => Entry::TakeTenant(name.clone()),
+        },
+    }
+}
+
+/// What is done between two slices of a change: all others get their turn.
+pub type Pause<'a> = dyn FnMut(&Hub) + 'a;
+
 pub struct Changes {
     rollout: Rollout<Content>,
-    facts: Facts,
+    /// Of versions that are staged, wait or are on probation: what leads there from the one before.
+    steps: BTreeMap<u64, Arc<[Entry]>>,
+    running: Arc<Running>,
     before: Before,
     /// The same since the change that is watched: what the next one is measured by, if this one stays.
     meanwhile: Before,
@@ -112,15 +276,19 @@
 
 impl Changes {
     pub fn new(
-        start: Content, number: u64, undone: Vec<(String, u64)>, terms: Terms, seed: u64,
-        store: Option<Store>,
-    ) -> Result<Changes, Fault> {
-        let (text, facts) = (start.text(), facts(&start.settings)?);
-        let rollout = Rollout::after(start, &text, number, undone, now());
-        let (before, meanwhile, watch) = (Before::default(), Before::default(), None);
-        let changes = Changes { rollout, facts, before, meanwhile, watch, next: now(), terms, seed, store };
+        start: Content, number: u64, undone: Vec<Marked>, terms: Terms, seed: u64, store: Option<Store>,
+    ) -> Changes {
+        let (hash, running) = (start.hash(), Arc::new(Running::new(&start)));
+        let rollout = Rollout::after(start, hash, number, undone, now());
+        let (before, meanwhile, watch, steps) = (Before::default(), Before::default(), None, BTreeMap::new());
+        let changes =
+            Changes { rollout, steps, running, before, meanwhile, watch, next: now(), terms, seed, store };
         changes.keep();
-        Ok(changes)
+        changes
+    }
+    /// What runs, as far as other threads are told.
+    pub fn running(&self) -> Arc<Running> {
+        self.running.clone()
     }
 
     /// When `tick` is wanted next; only while something is on probation must it be in time.
@@ -138,8 +306,15 @@
         self.watch = None;
     }
 
+    /// What a change is to be read and checked against.
+    pub fn glance(&self, hub: &Hub) -> Glance {
+        let running = self.rollout.running();
+        let seen = hub.with(|core, _, _| core.seen());
+        Glance { number: running.number, running: running.content.clone(), seen }
+    }
+
     /// Time has passed: what was served is looked at.
-    pub fn tick(&mut self, hub: &Hub) {
+    pub fn tick(&mut self, hub: &Hub, pause: &mut Pause<'_>) {
         let at = now();
         if at < self.next {
             return;
@@ -165,7 +340,7 @@
         match verdict {
             Verdict::Wait => {}
             Verdict::Undo { expected, seen } => {
-                let told = self.undo(hub, &figures(expected, seen));
+                let told = self.undo(hub, &figures(expected, seen), pause);
                 if told["ok"] != json!(true) {
                     warn!(hub.log, "the change could not be undone"; "why" => %told["error"]);
                 }
@@ -175,42 +350,53 @@
     }
 
     /// A configuration file was read again, on a signal: its addresses are taken up by the caller, the rest goes
-    /// through the same transaction as any change.
-    pub fn reread(&mut self, hub: &Hub, to: &Deployment) {
-        let running = self.rollout.running().content.clone();
-        let content =
-            Content { settings: to.server.clone(), memory_mb: to.memory_mb, sockets: to.sockets, ..running };
-        if content.text() == self.rollout.running().text {
+    /// through the same transaction as any change. `prepared`: how that was read, if it differs from what ran then.
+    pub fn reread(
+        &mut self, hub: &Hub, to: Deployment, prepared: Option<Result<Prepared, Told>>, pause: &mut Pause<'_>,
+    ) {
+        let running = self.rollout.running();
+        if to.content.digest() == running.content.entries.digest() {
             return;
         }
-        if !hub.changes.load(Ordering::Acquire) {
-            return warn!(hub.log, "the settings stay as they were"; "why" => "half of the members or fewer are seen");
-        }
-        let staged = self.stage(hub, content, None, Wish::default());
-        let told = if staged["ok"] == json!(true) { self.apply(hub, None, None) } else { staged };
+        let told = if hub.changes.load(Ordering::Acquire) {
+            // What runs may be another one by now.
+            let prepared = match prepared {
+                Some(Ok(prepared)) if prepared.against == running.number => Ok(prepared),
+                Some(Err(told)) => Err(told),
+                _ => {
+                    let asked =
+                        Asked { what: What::Entries(to.content), base: None, wish: Wish::default() };
+                    prepare(&self.glance(hub), asked, self.terms, self.seed)
+                }
+            };
+            match prepared.map(|prepared| self.stage(hub, prepared)) {
+                Ok(staged) if staged["ok"] == json!(true) => self.apply(hub, None, None, pause),
+                Ok(told) | Err(told) => told,
+            }
+        } else {
+            refused("half of the members or fewer are seen")
+        };
         if told["ok"] != json!(true) {
+            hub.with(|core, _, _| core.counters().changes_refused += 1);
             warn!(hub.log, "the settings stay as they were"; "why" => %told["error"], "problems" => %told["problems"]);
         }
     }
 
     /// Does what an operator wants.
-    pub fn want(&mut self, hub: &Hub, wanted: Wanted) -> Told {
+    pub fn want(&mut self, hub: &Hub, wanted: Wanted, pause: &mut Pause<'_>) -> Told {
         // Cut off from the others, it goes back at the most: what is changed here would be changed here alone.
         let alone = !hub.changes.load(Ordering::Acquire);
-        if alone && matches!(wanted, Wanted::Stage { .. } | Wanted::Apply { .. }) {
+        if alone && matches!(wanted, Wanted::Stage(_) | Wanted::Apply { .. }) {
             return refused("this backend sees half of its members or fewer: only undo and settle are taken");
         }
         match wanted {
-            Wanted::Stage { text, base, wish } => match self.read(&text) {
-                Ok(content) => self.stage(hub, content, base, wish),
-                Err(fault) => refused(&fault.to_string()),
-            },
-            Wanted::Apply { if_base, probation } => self.apply(hub, if_base, probation),
+            Wanted::Stage(prepared) => self.stage(hub, *prepared),
+            Wanted::Apply { if_base, probation } => self.apply(hub, if_base, probation, pause),
             Wanted::Status => self.status(hub),
             Wanted::Members => refused("there is no section [members]"),
             Wanted::Fleet | Wanted::List(_) | Wanted::Wish(_) => refused("there is no section [fleet]"),
             Wanted::Settle => self.settle(hub, "asked for"),
-            Wanted::Undo => self.undo(hub, "asked for"),
+            Wanted::Undo => self.undo(hub, "asked for", pause),
             Wanted::Drop => match self.rollout.drop_staged(now()) {
                 Ok(number) => {
                     self.log(&hub.log);
@@ -220,7 +406,7 @@
             },
             Wanted::History => {
                 let event = |e: &Event| {
-                    json!({"at": e.at, "what": e.what, "version": e.version, "hash": e.hash, "base": e.base,
+                    json!({"at": e.at, "what": e.what, "version": e.version, "hash": &*e.hash, "base": e.base,
                         "why": e.why})
                 };
                 json!({"ok": true, "history": self.rollout.history().map(event).collect::<Vec<_>>()})
@@ -228,55 +414,28 @@
         }
     }
 
-    /// A file's text takes the place of the like in what runs: settings, or the operator's file.
-    fn read(&self, text: &str) -> Result<Content, Fault> {
-        let mut content = self.rollout.running().content.clone();
-        if text.trim_start().starts_with('{') {
-            let to = asterrill_settings::read(text)?;
-            (content.settings, content.memory_mb, content.sockets) = (to.server, to.memory_mb, to.sockets);
-        } else {
-            let file = asterrill_conf::parse("operator's file", text);
-            content.file = file.map_err(|mistake| Fault::new(mistake.to_string()))?;
-            content.file_text = text.into();
-        }
-        Ok(content)
-    }
-
-    fn stage(&mut self, hub: &Hub, content: Content, base: Option<u64>, wish: Wish) -> Told {
-        let new = match facts(&content.settings) {
-            Ok(facts) => facts,
-            Err(fault) => return refused(&fault.to_string()),
-        };
-        let mut seen = hub.with(|core, _, _| core.seen());
-        // What is booked now is a part of what there is.
-        let free = free_kb();
-        seen.free_kb = free.map_or(0.0, |free| free + self.facts.memory_kb);
-        let more = content.memory_mb.saturating_sub(self.rollout.running().content.memory_mb) as f64 * 1024.0;
-        if free.is_some_and(|free| more > free) {
-            return refused(&format!("it wants {more:.0} kB more for itself than there are free"));
+    fn stage(&mut self, hub: &Hub, prepared: Prepared) -> Told {
+        let Prepared { against, content, hash, step, base, wish, meaning, problems } = prepared;
+        let running = self.rollout.running().number;
+        if against != running {
+            let why = format!("version {running} came into force while it was read: hand it in again");
+            return refused(&why);
         }
-        let problems = check(&self.facts, &new, &seen, self.terms.factor);
-        let stops = |p: &Problem| matches!(p, Problem::Wrong(_)) || !wish.force;
-        let shown: Vec<String> = problems.iter().map(Problem::to_string).collect();
-        if problems.iter().any(stops) {
-            return json!({"ok": false, "error": "it does not pass the checks", "problems": shown});
-        }
-        if let Err(fault) = self.could_carry_out(&content) {
-            return refused(&fault.to_string());
-        }
-        let meaning = difference(&self.facts, &new);
-        let text = content.text();
-        match self.rollout.stage(now(), Change { content, text, base, wish }) {
+        match self.rollout.stage(now(), Change { content, hash: hash.clone(), base, wish }) {
             Ok(number) => {
+                let entries = step.len();
+                self.steps.insert(number, step);
                 self.log(&hub.log);
-                json!({"ok": true, "version": number, "changes": meaning, "problems": shown})
+                json!({"ok": true, "version": number, "hash": &*hash, "entries": entries, "changes": meaning,
+                    "problems": problems})
             }
             Err(refusal) => refused(&refusal.to_string()),
         }
     }
 
-    fn apply(&mut self, hub: &Hub, if_base: Option<u64>, probation: Option<Us>) -> Told {
+    fn apply(&mut self, hub: &Hub, if_base: Option<u64>, probation: Option<Us>, pause: &mut Pause<'_>) -> Told {
         let (at, probation) = (now(), probation.unwrap_or(self.terms.probation));
+        let before = self.rollout.running().content.clone();
         let version = match self.rollout.apply(at, if_base, probation) {
             Ok(version) => version,
             Err(refusal) => {
@@ -287,51 +446,58 @@
         // Written first: after a crash from here on the last good version is what starts.
         self.keep();
         let start = std::time::Instant::now();
-        if let Err(fault) = self.carry_out(hub, &version.content, version.number) {
-            // It passed all checks, so this is a defect; nothing of it was applied.
+        let step = self.step_of(&version, &before);
+        if let Err(fault) = self.carry_out(hub, &version, &step, Entry::clone, pause) {
+            // It passed all checks, so this is a defect, or places ran out; nothing of it was applied.
             self.rollout.undo(at, &fault.to_string()).map(drop).unwrap_or_default();
             self.keep();
             self.log(&hub.log);
             return refused(&fault.to_string());
         }
         let took = start.elapsed().as_micros() as u64;
-        let weights: BTreeMap<String, f64> =
-            self.facts.methods.iter().map(|(name, m)| (name.clone(), m.criticality)).collect();
-        self.watch = Some(Watch::new(at, &self.before, weights, self.facts.cores, probation));
-        self.next = at;
-        self.facts = facts(&version.content.settings).unwrap_or_default();
+        self.watch = Some(Watch::new(now(), &self.before, before.entries, probation));
+        self.next = now();
+        self.running.set(&version.content);
         self.log(&hub.log);
-        json!({"ok": true, "version": version.number, "took_us": took, "probation_us": probation})
-    }
-
-    /// Whether all that a version says could come into force.
-    fn could_carry_out(&self, content: &Content) -> Result<(), Fault> {
-        let server = asterrill_settings::server(now(), self.seed, &content.settings, Some(false))?;
-        operator::terms(content.file.broker.as_ref(), &server)?;
-        let running = &self.rollout.running().content;
-        let bare = |file: &File| file.broker.clone().map(asterrill_conf::Broker::without_queues);
-        if bare(&content.file) != bare(&running.file)
-            || content.file.changes != running.file.changes
-            || content.file.recovery != running.file.recovery
-            || content.file.members != running.file.members
-            || content.file.fleet != running.file.fleet
-        {
-            return Err(Fault::new(
-                "[broker], [changes], [recovery], [members], [fleet] and [log] are taken up at the next start only"
-                    .into(),
-            ));
+        json!({"ok": true, "version": version.number, "hash": &*version.hash, "entries": step.len(),
+            "took_us": took, "probation_us": probation})
+    }
+
+    /// What led to a version from the one before.
+    fn step_of(&self, version: &Version<Content>, before: &Content) -> Arc<[Entry]> {
+        match self.steps.get(&version.number) {
+            Some(step) => step.clone(),
+            None => before.entries.changes_to(&version.content.entries).into(),
         }
-        Ok(())
     }
 
-    /// The one place where a version comes into force: one input of the core.
-    fn carry_out(&mut self, hub: &Hub, content: &Content, number: u64) -> Result<(), Fault> {
-        let server = asterrill_settings::server(now(), self.seed, &content.settings, Some(false))?;
-        let terms = operator::terms(content.file.broker.as_ref(), &server)?;
-        let done = hub.with(|core: &mut Core, wire, now| core.change(now, server, terms, number, wire));
-        done.map_err(Fault::new)?;
-        hub.with(|core, _, _| core.settings_now(hash_of(&content.settings)));
-        hub.resize(content.memory_mb, crate::room(content.sockets));
+    /// The one place where a version comes into force: its entries go in beside those that are in force, a slice at a
+    /// time; then one input of the core turns over to all of them. Nothing is done where it can't be taken up. `of`: what
+    /// goes in for an entry of `step`.
+    fn carry_out(
+        &mut self, hub: &Hub, to: &Version<Content>, step: &[Entry], of: impl Fn(&Entry) -> Entry,
+        pause: &mut Pause<'_>,
+    ) -> Result<(), Fault> {
+        let Version { number, content, .. } = to;
+        let bare = bare(content, step, self.seed)?;
+        let methods = content.entries.methods().filter(|_| bare.is_some());
+        let longest = methods.map(|(_, method)| method.latency_target).max().unwrap_or(0);
+        let queues = operator::terms(content.file.broker.as_ref(), &content.entries)?;
+        let tells_tenants = content.entries.count(Kind::Tenant) > 0;
+        hub.with(|core, _, _| core.could_take(step, &queues)).map_err(Fault::new)?;
+        let mut slices = step.chunks(SLICE).peekable();
+        while let Some(slice) = slices.next() {
+            let slice: Vec<Entry> = slice.iter().map(&of).collect();
+            hub.with(|core, _, _| core.stage(&slice));
+            if slices.peek().is_some() {
+                pause(hub);
+            }
+        }
+        let flip = Flip { number: *number, bare, longest, queues, tells_tenants };
+        hub.with(|core: &mut Core, wire, now| core.change(now, flip, wire));
+        hub.with(|core, _, _| core.settings_now(content.settings()));
+        let frame = content.entries.frame();
+        hub.resize(frame.memory_mb, crate::room(frame.sockets));
         Ok(())
     }
 
@@ -343,24 +509,27 @@
                 hub.with(|core, _, _| core.settled());
                 self.keep();
                 self.log(&hub.log);
-                json!({"ok": true, "version": number})
+                json!({"ok": true, "version": number, "hash": &*self.rollout.running().hash})
             }
             Err(refusal) => refused(&refusal.to_string()),
         }
     }
 
-    fn undo(&mut self, hub: &Hub, why: &str) -> Told {
+    fn undo(&mut self, hub: &Hub, why: &str, pause: &mut Pause<'_>) -> Told {
+        let undone = self.rollout.running().clone();
         match self.rollout.undo(now(), why) {
             Ok(version) => {
                 self.watch = None;
                 self.meanwhile = Before::default();
-                let done = self.carry_out(hub, &version.content, version.number);
+                let (step, before) = (self.step_of(&undone, &version.content), version.content.entries.clone());
+                let done = self.carry_out(hub, &version, &step, |entry| back(entry, &before), pause);
                 hub.with(|core, _, _| core.settled());
-                self.facts = facts(&version.content.settings).unwrap_or_default();
+                self.running.set(&version.content);
                 self.keep();
                 self.log(&hub.log);
                 match done {
-                    Ok(()) => json!({"ok": true, "version": version.number}),
+                    Ok(()) => json!({"ok": true, "version": version.number, "hash": &*version.hash,
+                        "entries": step.len()}),
                     Err(fault) => refused(&fault.to_string()),
                 }
             }
@@ -370,6 +539,7 @@
 
     fn status(&self, hub: &Hub) -> Told {
         let running = self.rollout.running();
+        let entries = &running.content.entries;
         let probation = match self.rollout.stage_now() {
             Stage::Settled => Value::Null,
             Stage::Probation(until) => json!({"until": until, "good": self.rollout.good().number}),
@@ -380,37 +550,39 @@
             let (why, since) = stages.why();
             Some(json!({"name": stages.stage().name(), "why": why, "since": since, "outages": outages}))
         });
-        json!({"ok": true, "version": running.number, "hash": running.hash, "base": running.base,
+        json!({"ok": true, "version": running.number, "hash": &*running.hash, "base": running.base,
+            "methods": entries.count(Kind::Method), "tenants": entries.count(Kind::Tenant),
             "probation": probation, "staged": self.rollout.staged().map(|v| v.number),
             "queued": self.rollout.queued().map(|v| v.number), "stage": back,
             "counters": {"rpcs": counted.rpcs, "ok": counted.ok, "pushed_back": counted.pushed_back,
                 "aborted": counted.aborted, "gone": counted.gone, "changes": counted.changes,
+                "changes_refused": counted.changes_refused,
                 "half_applied": counted.half_applied, "store_failed": self.store.as_ref().map(Store::failed)}})
     }
 
-    /// What was learned is to stand on disk, if there is a place for it.
-    pub fn keep_learned(&self, learned: Learned) {
-        self.store.iter().for_each(|store| store.keep_learned(learned.clone()));
-    }
-
     /// Writes down what a restart needs, if there is a place for it.
     fn keep(&self) {
         let Some(store) = &self.store else { return };
-        let undone: Vec<(String, u64)> = self.rollout.undone().cloned().collect();
-        let good = self.rollout.good();
-        let good_record = asterrill_rollout::write(good.number, &good.text, &undone);
-        let running = self.rollout.running();
+        let (good, running) = (self.rollout.good(), self.rollout.running());
         let on_probation = running.number != good.number;
-        let probation = on_probation.then(|| asterrill_rollout::write(running.number, &running.text, &[]));
-        store.keep(good_record, probation);
+        store.keep(State {
+            good: good.content.kept(good.number),
+            probation: on_probation.then(|| running.content.kept(running.number)),
+            undone: self.rollout.undone().cloned().collect(),
+        });
     }
 
-    /// Each event once, with all that decided it.
+    /// Each event once, with all that decided it. What led to versions that are over is forgotten.
     fn log(&mut self, log: &Logger) {
         for e in self.rollout.take_news() {
-            info!(log, "configuration"; "what" => e.what, "version" => e.version, "hash" => &e.hash,
-                "base" => e.base, "why" => &e.why);
+            let entries = self.steps.get(&e.version).map_or(0, |step| step.len());
+            info!(log, "configuration"; "what" => e.what, "version" => e.version, "hash" => &*e.hash,
+                "base" => e.base, "entries" => entries, "why" => &e.why);
         }
+        let running = Some(self.rollout.running()).filter(|_| self.rollout.stage_now() != Stage::Settled);
+        let kept = [running, self.rollout.staged(), self.rollout.queued()];
+        let kept = kept.map(|version| version.map(|version| version.number));
+        self.steps.retain(|number, _| kept.contains(&Some(*number)));
     }
 }
 
@@ -421,11 +593,7 @@
     line.split_whitespace().next()?.parse().ok()
 }
 
-/// A hash of settings, the same for the same meaning: their JSON has one order.
-pub fn hash_of(settings: &Value) -> u64 {
-    asterrill_recovery::seed(0, &settings.to_string(), 0, 0)
-}
-
-fn refused(why: &str) -> Told {
+/// An answer that is a no.
+pub fn refused(why: &str) -> Told {
     json!({"ok": false, "error": why})
 }
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -1,7 +1,7 @@
 //! Where operators are listened to: a Unix socket that only the owner of the process may open. A line of JSON comes,
 //! a line of JSON goes back; the program `asterrill` speaks it. Its threads touch nothing but the orders.
 
-use crate::change::{Told, Wanted};
+use crate::change::{Asked, Told, Wanted, What};
 use asterrill_agree::{Change, Entry, Kind, Standing, Wish as Wanting};
 use asterrill_rollout::Wish;
 use serde_json::{json, Value};
@@ -10,17 +10,44 @@
 use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const VERSION: u64 = 1;
-const LINE: u64 = 512 * 1024; // bytes of a request
+const LINE: u64 = 4 * 1024 * 1024; // bytes of a request
+const LONG: u64 = 512 * 1024; // beyond which only one is read and answered at a time
+const WAIT: Duration = Duration::from_millis(5); // between looks whether another long one is done
 const CLIENTS: usize = 4;
 const WITHIN: Duration = Duration::from_secs(5); // a request comes whole by then, and its answer is taken
 
-/// Asks the worker.
-pub type Ask = Arc<dyn Fn(Wanted) -> Told + Send + Sync>;
+/// What a line asks for.
+#[derive(Clone, Debug)]
+pub enum Request {
+    /// A change is to be staged.
+    Stage(Asked),
+    /// What a change would mean.
+    Diff(Asked),
+    Do(Wanted),
+}
+
+/// Carries it out.
+pub type Ask = Arc<dyn Fn(Request) -> Told + Send + Sync>;
+
+/// The right to hold a long request: one client has it at a time.
+struct Hold<'a>(&'a AtomicBool);
+
+impl Hold<'_> {
+    fn take(held: &AtomicBool) -> Option<Hold<'_>> {
+        (!held.swap(true, Ordering::AcqRel)).then_some(Hold(held))
+    }
+}
+
+impl Drop for Hold<'_> {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Release);
+    }
+}
 
 /// Listens from now on. A socket that an earlier process has left there is taken over; anything else is not.
 pub fn listen(path: &Path, ask: Ask, log: &Logger) -> io::Result<()> {
@@ -45,7 +72,7 @@
     std::fs::remove_dir_all(&beside).map_err(named)?;
     let listener = listener.map_err(named)?;
     info!(log, "operators are listened to"; "path" => %path.display());
-    let (log, clients) = (log.clone(), Arc::new(AtomicUsize::new(0)));
+    let (log, clients, held) = (log.clone(), Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
     std::thread::Builder::new().name("control".into()).spawn(move || {
         for stream in listener.incoming() {
             let stream = match stream {
@@ -61,9 +88,9 @@
                 drop(say(&stream, &json!({"ok": false, "error": "too many operators at a time"})));
                 continue;
             }
-            let (ask, done) = (ask.clone(), clients.clone());
+            let (ask, done, held) = (ask.clone(), clients.clone(), held.clone());
             let serve = move || {
-                drop(serve(&stream, &ask));
+                drop(serve(&stream, &ask, &held));
                 done.fetch_sub(1, Ordering::AcqRel);
             };
             if std::thread::Builder::new().name("operator".into()).spawn(serve).is_err() {
@@ -80,35 +107,50 @@
 }
 
 /// Requests one after the other, each whole within its time.
-fn serve(stream: &UnixStream, ask: &Ask) -> io::Result<()> {
+fn serve(stream: &UnixStream, ask: &Ask, held: &AtomicBool) -> io::Result<()> {
     let mut from = BufReader::new(stream);
     loop {
-        let Some(line) = line(&mut from, stream)? else { return Ok(()) };
-        let told = match wanted(&line) {
-            Ok(wanted) => ask(wanted),
+        let Some((line, hold)) = line(&mut from, stream, held)? else { return Ok(()) };
+        let told = match request(line) {
+            Ok(request) => ask(request),
             Err(why) => json!({"ok": false, "error": why}),
         };
+        drop(hold);
         say(stream, &told)?;
     }
 }
 
-/// The next line; none at the end, or if it does not come whole in its time.
-fn line(from: &mut BufReader<&UnixStream>, stream: &UnixStream) -> io::Result<Option<String>> {
-    let (until, mut bytes) = (Instant::now() + WITHIN, Vec::new());
+/// The next line; none at the end, or if it does not come whole in its time. Of long ones one is read at a time: others
+/// wait in the sockets.
+fn line<'a>(
+    from: &mut BufReader<&UnixStream>, stream: &UnixStream, held: &'a AtomicBool,
+) -> io::Result<Option<(String, Option<Hold<'a>>)>> {
+    let (until, mut bytes, mut hold) = (Instant::now() + WITHIN, Vec::new(), None);
+    let refused = |why: &str| say(stream, &json!({"ok": false, "error": why}));
     loop {
         let left = until.saturating_duration_since(Instant::now());
+        if bytes.len() as u64 >= LONG && hold.is_none() {
+            hold = Hold::take(held);
+            if hold.is_none() && !left.is_zero() {
+                std::thread::sleep(WAIT);
+                continue;
+            }
+            if hold.is_none() {
+                refused("another request of more than 512 KiB is being read: ask again")?;
+                return Ok(None);
+            }
+        }
         if left.is_zero() || bytes.len() as u64 >= LINE {
-            say(
-                stream,
-                &json!({"ok": false, "error": "a request is a line of 512 KiB at most, within 5 s"}),
-            )?;
+            refused("a request is a line of 4 MiB at most, within 5 s")?;
             return Ok(None);
         }
         stream.set_read_timeout(Some(left))?;
-        let before = bytes.len();
-        match from.by_ref().take(LINE - before as u64).read_until(b'\n', &mut bytes) {
+        let most = if hold.is_some() { LINE } else { LONG } - bytes.len() as u64;
+        match from.by_ref().take(most).read_until(b'\n', &mut bytes) {
             Ok(0) => return Ok(None),
-            Ok(_) if bytes.ends_with(b"\n") => return Ok(String::from_utf8(bytes).ok()),
+            Ok(_) if bytes.ends_with(b"\n") => {
+                return Ok(String::from_utf8(bytes).ok().map(|line| (line, hold)))
+            }
             Ok(_) => {}
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
             Err(e) => return Err(e),
@@ -116,21 +158,33 @@
     }
 }
 
-fn wanted(line: &str) -> Result<Wanted, String> {
-    let v: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
+/// What a line asks for. A long text is taken out of it, not copied, and the line is not kept beside it.
+fn request(line: String) -> Result<Request, String> {
+    let mut v: Value = serde_json::from_str(&line).map_err(|e| format!("not JSON: {e}"))?;
+    drop(line);
     if v.get("v").and_then(Value::as_u64) != Some(VERSION) {
         return Err(format!("this program speaks version {VERSION}"));
     }
+    let mut text = |name: &str| match v.get_mut(name).map(Value::take) {
+        Some(Value::String(text)) => Some(text),
+        _ => None,
+    };
+    let what = match (text("step"), text("text")) {
+        (Some(_), Some(_)) => return Err("text or step, not both".into()),
+        (Some(step), None) => Some(What::Step(step)),
+        (None, text) => text.map(What::Text),
+    };
     let flag = |name: &str| v.get(name).and_then(Value::as_bool).unwrap_or(false);
     let number = |name: &str| match v.get(name) {
         None | Some(Value::Null) => Ok(None),
         Some(n) => n.as_u64().map(Some).ok_or_else(|| format!("{name} is no whole number")),
     };
-    match v.get("do").and_then(Value::as_str) {
-        Some("stage") => {
-            let text = v.get("text").and_then(Value::as_str).ok_or("stage wants text")?.to_string();
+    let wanted = match v.get("do").and_then(Value::as_str) {
+        Some(todo @ ("stage" | "diff")) => {
+            let what = what.ok_or_else(|| format!("{todo} wants text or step"))?;
             let wish = Wish { force: flag("force"), queue: flag("queue") };
-            Ok(Wanted::Stage { text, base: number("base")?, wish })
+            let asked = Asked { what, base: number("base")?, wish };
+            return Ok(if todo == "stage" { Request::Stage(asked) } else { Request::Diff(asked) });
         }
         Some("apply") => {
             Ok(Wanted::Apply { if_base: number("if_base")?, probation: number("probation_us")? })
@@ -154,7 +208,8 @@
             Ok(Wanted::Wish(Wanting::Change { base: number("base")?, changes }))
         }
         other => Err(format!("{other:?} is not known")),
-    }
+    };
+    wanted.map(Request::Do)
 }
 
 fn kind(v: &Value) -> Result<Kind, String> {
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -3,6 +3,7 @@
 
 use crate::below::Links;
 use crate::counters::Counters;
+use crate::names::Names;
 use crate::notices::Agent;
 use crate::queues::{Ask as Want, Queues};
 use crate::returning::{Known, Returning};
@@ -11,19 +12,19 @@
 use crate::wire::{Asker, ConnId, LinkId, Place, Wire};
 use asterrill::{CallEnd, Effect, Final, MethodId, RpcId, RunEnd, Us};
 use asterrill_agree::{caller_key, Gate, Kind};
-use asterrill_engine::{Command, Engine, IdempotencyKey, Outputs, Read, RouteId, Served, Terms};
+use asterrill_engine::{Bounds, Command, Engine, IdempotencyKey, Outputs, Read, RouteId, Served, Terms};
+use asterrill_entries::{Change, Name};
 use asterrill_net::{Buf, Pool};
 use asterrill_protocol::agent::{self, NoticeId};
 use asterrill_protocol::frames::{Ask, StreamId, STREAMS};
 use asterrill_recovery::{Learned, Moment, Stages};
 use asterrill_rollout::{Sample, Seen};
-use asterrill_settings::Server;
+use asterrill_settings::{Bare, Server};
 use nanorand::{Rng, WyRand};
 
 const EXERCISE: Us = 200_000; // a thorough check is answered by then
 const ASKING: usize = 64; // thorough checks that wait at a time; more are answered from store
 const IDS: usize = 4; // tried for a message of a queue, until it waits like one that was pushed back
-const METHODS: usize = 1024; // that there ever were: each keeps its place
 const RESULTS: usize = 2; // results of tokened RPCs may take half of what bodies in hand may
 const FLUSH: Us = 100_000; // kept free before the kill, to write out what is owed
 
@@ -73,47 +74,77 @@
     queues: u64,
 }
 
-/// What the surroundings of the module need to know of its settings.
-struct Names {
-    methods: Vec<String>,
-    of_methods: std::collections::BTreeMap<String, MethodId>,
-    /// The same for methods that were removed as well: they keep their place for what is in hand.
-    slots: std::collections::BTreeMap<String, MethodId>,
-    tenants: std::collections::BTreeMap<String, usize>,
-    /// Of methods by their places: repeats are known by a token, and not run again.
-    tokened: Vec<bool>,
-    /// Of methods that there are, their latency targets.
-    targets: std::collections::BTreeMap<String, Us>,
-    gauges: Vec<String>,
+/// Takes a server apart: the module, its terms and its names.
+fn parts(mut server: Server, results: usize) -> (asterrill::Control, Terms, Names) {
+    let names = Names::new(&mut server);
+    let terms = Terms { shares: server.shares, fresh: server.fresh, results, longest: server.longest };
+    (server.control, terms, names)
+}
+
+/// The names of what is in force now.
+struct InForce<'a> {
+    names: &'a Names,
+    engine: &'a Engine<Asker, Buf>,
 }
 
-impl Names {
-    fn known(&self) -> Known<'_> {
-        Known { methods: &self.of_methods, targets: &self.targets, tenants: &self.tenants }
+impl InForce<'_> {
+    fn of_method(&self, name: &str) -> Option<MethodId> {
+        self.names.method(name).filter(|place| self.engine.knows_method(*place))
     }
 }
 
-/// The latency targets of methods, by name.
-fn targets(server: &Server) -> std::collections::BTreeMap<String, Us> {
-    let of = |(name, id): (&String, &MethodId)| Some((name.clone(), *server.targets.get(id.0)?));
-    server.methods.iter().filter_map(of).collect()
+impl asterrill_consumer::Known for InForce<'_> {
+    fn method(&self, name: &str) -> Option<(MethodId, Effect)> {
+        let place = self.of_method(name)?;
+        Some((place, self.names.effect(place)?))
+    }
+    fn tenant(&self, name: &str) -> Option<usize> {
+        self.names.tenant(name).filter(|place| self.engine.knows_tenant(*place))
+    }
+    fn tells_tenants(&self) -> bool {
+        self.names.tells_tenants
+    }
 }
 
-/// Takes a server apart: the module, its terms and its names.
-fn parts(server: Server, results: usize) -> (asterrill::Control, Terms, Names) {
-    let mut methods = vec![String::new(); server.methods.len()];
-    for (name, id) in &server.methods {
-        methods[id.0] = name.clone();
-    }
-    let (slots, targets) = (server.methods.clone(), targets(&server));
-    let tokened = server.effects.iter().map(|effect| *effect == Effect::Tokened).collect();
-    let (of_methods, tenants, gauges) = (server.methods, server.tenants, server.gauges);
-    let names = Names { methods, of_methods, slots, tenants, tokened, targets, gauges };
-    (
-        server.control,
-        Terms { shares: server.shares, fresh: server.fresh, results, longest: server.longest },
-        names,
-    )
+impl asterrill_recovery::Targets for InForce<'_> {
+    fn target(&self, name: &str) -> Option<Us> {
+        self.names.target(self.of_method(name)?)
+    }
+    fn shortest(&self) -> Us {
+        let known = self.names.methods().filter(|place| self.engine.knows_method(*place));
+        known.filter_map(|place| self.names.target(place)).min().unwrap_or(0)
+    }
+}
+
+impl Known for InForce<'_> {
+    fn targets(&self) -> &dyn asterrill_recovery::Targets {
+        self
+    }
+    fn named(&self, method: MethodId) -> Option<(&Name, Us)> {
+        let known = self.engine.knows_method(method);
+        self.names.name(method).zip(self.names.target(method)).filter(|_| known)
+    }
+    fn place(&self, method: &str) -> Option<MethodId> {
+        self.of_method(method)
+    }
+    fn tenant(&self, name: &str) -> Option<usize> {
+        asterrill_consumer::Known::tenant(self, name)
+    }
+    fn tenants(&self) -> Vec<(&Name, usize)> {
+        self.names.tenants().filter(|(_, place)| self.engine.knows_tenant(*place)).collect()
+    }
+}
+
+/// What comes into force together with the entries that were staged.
+pub struct Flip {
+    pub number: u64,
+    /// The parts of the module that are no entries, where the frame or a method changes.
+    pub bare: Option<Bare>,
+    /// The longest latency target, in the same case.
+    pub longest: Us,
+    pub queues: Vec<asterrill_consumer::Terms>,
+    /// Tenants are told apart.
+    pub tells_tenants: bool,
 }
 
 /// By what the tries of one tokened RPC are known. The protocol has no field for it, and each try has an id of its own;
@@ -159,7 +190,7 @@
             self.around.queues.iter_mut().for_each(|queues| queues.launched(work));
         }
         self.around.agent.sends(self.now, id);
-        let name = self.around.server.methods.get(method.0).map_or("", String::as_str);
+        let name = self.around.server.name(method).map_or("", |name| name);
         self.wire.launch(id, name, body);
     }
     fn stop(&mut self, id: RpcId) {
@@ -321,9 +352,10 @@
     /// Takes what the broker sent. False if the connection is of no more use.
     pub fn broker_read(&mut self, now: Us, bytes: &[u8], wire: &mut dyn Wire) -> bool {
         let mut logs = Vec::new();
-        let fine = self.with(now, wire, |_, now, out| match &mut out.around.queues {
-            Some(queues) => queues.read(now, bytes, &mut logs),
-            None => Ok(()),
+        let fine = self.with(now, wire, |engine, now, out| {
+            let Around { queues, server, .. } = &mut *out.around;
+            let known = InForce { names: server, engine };
+            queues.as_mut().map_or(Ok(()), |queues| queues.read(now, bytes, &mut logs, &known))
         });
         logs.iter().for_each(|line| wire.log(line));
         self.broker_fine(fine, false, wire)
@@ -343,82 +375,66 @@
     }
     /// What was served since the last time, for the watch over a change.
     pub fn served(&mut self) -> Sample {
-        let (engine, names) = (&self.engine, &self.around.server.methods);
+        let (engine, names) = (&self.engine, &self.around.server);
         self.around.service.pass(self.now);
-        self.around.service.take(names, |method| engine.cost(method))
+        self.around.service.take(|method| names.name(method).cloned(), |method| engine.cost(method))
     }
     /// What was seen in the last minute, and is held now.
     pub fn seen(&self) -> Seen {
-        let names = &self.around.server.methods;
-        let mut seen = self.around.service.seen(self.now, names, |method| self.engine.cost(method));
-        seen.held_kb = self.engine.held_kb();
+        let (engine, names) = (&self.engine, &self.around.server);
+        let name = |method| names.name(method).cloned();
+        let mut seen = self.around.service.seen(self.now, name, |method| engine.cost(method));
+        seen.held_kb = engine.held_kb();
         seen
     }
-    /// From now on service is judged by the targets of the version that runs.
+    /// From now on service is judged by the targets of the version that runs, and nothing goes back behind it.
     pub fn settled(&mut self) {
+        let engine = &self.engine;
         self.around.service.settled();
+        self.around.server.settled(|tenant| engine.knows_tenant(tenant));
     }
 
-    /// Another version of the configuration from now on, whole: all that follows is decided under it, and what is
-    /// in hand keeps the terms under which it was read. An error if it can't be taken up: nothing is changed then.
-    pub fn change(
-        &mut self, now: Us, server: Server, terms: Vec<asterrill_consumer::Terms>, number: u64,
-        wire: &mut dyn Wire,
+    /// Whether a change could be staged, and these queues be taken up with it.
+    pub fn could_take(
+        &self, changes: &[Change], terms: &[asterrill_consumer::Terms],
     ) -> Result<(), String> {
-        let mut slots = self.around.server.slots.clone();
-        let mut names = self.around.server.methods.clone();
-        let mut of_methods = std::collections::BTreeMap::new();
-        let mut fresh: Vec<(usize, &String)> = server.methods.iter().map(|(name, id)| (id.0, name)).collect();
-        fresh.sort();
-        let mut places = Vec::new();
-        for (_, name) in fresh {
-            let place = *slots.entry(name.clone()).or_insert_with(|| {
-                names.push(name.clone());
-                MethodId(names.len() - 1)
-            });
-            of_methods.insert(name.clone(), place);
-            places.push(place.0);
-        }
-        if names.len() > METHODS {
-            return Err(format!("there were more than {METHODS} methods since the start: start anew"));
-        }
-        if self.around.queues.as_ref().is_some_and(|queues| !queues.could_take(&terms)) {
+        if self.around.queues.as_ref().is_some_and(|queues| !queues.could_take(terms)) {
             return Err("there were too many queues since the start: start anew".into());
         }
-        let (mut shares, mut tokened) = (vec![false; names.len()], vec![false; names.len()]);
-        let mut methods = asterrill_consumer::Methods::new();
-        for (name, place) in &of_methods {
-            let at = server.methods.get(name).map_or(0, |id| id.0);
-            shares[place.0] = server.shares.get(at).copied().unwrap_or(false);
-            tokened[place.0] = server.effects.get(at) == Some(&Effect::Tokened);
-            methods.insert(name.clone(), (*place, server.effects[at]));
-            self.around.service.target(place.0, server.targets[at]);
-        }
-        let mut tenants: Vec<(usize, &String)> =
-            server.tenants.iter().map(|(name, at)| (*at, name)).collect();
-        tenants.sort();
-        let before = &self.around.server.tenants;
-        let tenants: Vec<Option<usize>> =
-            tenants.into_iter().map(|(_, name)| before.get(name).copied()).collect();
-        self.around.agent.target(server.targets.iter().max().copied().unwrap_or(0));
+        self.around.server.could_take(changes)
+    }
+    /// Takes entries of a change in beside those in force: nothing shows of them until [`Core::change`]. Of a long
+    /// change a slice at a time, so that nobody waits for it.
+    pub fn stage(&mut self, changes: &[Change]) {
+        let terms = self.around.server.stage(changes);
+        self.engine.stage(&terms);
+    }
+    /// Another version of the configuration from now on, whole, with all that was staged: all that follows is decided
+    /// under it, and what is in hand keeps the terms under which it was read.
+    pub fn change(&mut self, now: Us, flip: Flip, wire: &mut dyn Wire) {
+        let Flip { number, bare, longest, queues: terms, tells_tenants } = flip;
         let results = self.held.bytes() / RESULTS;
-        let terms_of = Terms { shares, fresh: server.fresh, results, longest: server.longest };
-        let targets = targets(&server);
-        let (known_tenants, gauges) = (server.tenants, server.gauges);
-        let tenants_now = known_tenants;
-        let known =
-            Names { methods: names, of_methods, slots, tenants: tenants_now, tokened, targets, gauges };
+        let bounds = bare.as_ref().map(|bare| Bounds { fresh: bare.fresh, results, longest: bare.longest });
         self.with(now, wire, |engine, now, out| {
-            out.around.counters.changes += 1;
-            out.around.stamps = Stamps { module: number, names: number, queues: number };
-            out.around.service.pass(now);
-            if let Some(queues) = &mut out.around.queues {
-                queues.change(now, terms, &methods, &known.tenants);
+            let Around { counters, stamps, service, queues, server, agent, .. } = &mut *out.around;
+            counters.changes += 1;
+            service.pass(now);
+            for (method, target) in server.change(tells_tenants) {
+                service.target(method.0, target);
             }
-            out.around.server = known;
-            engine.change(now, server.control, terms_of, &places, &tenants, out);
+            stamps.names = number;
+            if let Some(queues) = queues {
+                queues.change(now, terms);
+            }
+            stamps.queues = number;
+            let frame = bare.map(|bare| {
+                agent.target(longest);
+                server.gauges = bare.gauges;
+                bare.control
+            });
+            stamps.module = number;
+            engine.change(now, frame, bounds, out);
         });
-        Ok(())
     }
 
     /// What members tell of each other comes down to this one figure.
@@ -445,9 +461,10 @@
     }
     /// The agent has greeted: what was kept is weighed, the first time.
     pub fn greeted(&mut self, now: Us, empty: bool, wire: &mut dyn Wire) {
-        let (standing, names) = (self.engine.standing(), &self.around.server);
-        let Some(returning) = &mut self.around.returning else { return };
-        let recall = returning.greeted(now, empty, standing, &names.known());
+        let (standing, engine) = (self.engine.standing(), &self.engine);
+        let Around { returning, server, .. } = &mut self.around;
+        let Some(returning) = returning else { return };
+        let recall = returning.greeted(now, empty, standing, &InForce { names: server, engine });
         let care = returning.care();
         self.with(now, wire, |engine, now, out| {
             engine.careful(now, care, out);
@@ -485,7 +502,8 @@
             return None;
         }
         self.around.counters.snapshots += 1;
-        Some(returning.snapshot(moment(), self.engine.learned(), &self.around.server.known()))
+        let (engine, names) = (&self.engine, &self.around.server);
+        Some(returning.snapshot(moment(), engine.learned(), &InForce { names, engine }))
     }
     /// How far it is back, and the outages of the layer below that were noticed; none where nobody attends to it.
     pub fn stages(&self) -> Option<(&Stages, u64)> {
@@ -526,17 +544,17 @@
             }
         }
         let server = &self.around.server;
-        let method = server.of_methods.get(&ask.method).copied();
-        let tenant = server.tenants.get(&ask.tenant).copied();
+        let in_force = InForce { names: server, engine: &self.engine };
+        let tenant = asterrill_consumer::Known::tenant(&in_force, &ask.tenant);
         // Where tenants are told apart, an RPC is of one of them.
-        let known = tenant.is_some() || server.tenants.is_empty();
-        let (Some(method), true) = (method, known) else {
+        let known = tenant.is_some() || !server.tells_tenants;
+        let (Some(method), true) = (in_force.of_method(&ask.method), known) else {
             self.refuse(now, place, wire);
             return true;
         };
         // What the agent may never have heard of is not joined to anything, and nothing to it.
         let shares = self.around.sidecars.proven(place.conn);
-        let tokened = server.tokened.get(method.0).copied().unwrap_or(false);
+        let tokened = server.effect(method) == Some(Effect::Tokened);
         let known = (tokened || ask.key.is_some() && shares && self.engine.shares(method))
             .then(|| idempotency_key(&ask.method, &ask.tenant, body));
         // An answer carries what a run made for this RPC: of reads with one key, only tries of the same one share.
@@ -675,9 +693,11 @@
         if let Some(server) =
             fresh.filter(|_| self.engine.counts.rpcs == 0 && self.around.counters.changes == 0)
         {
-            let (control, terms, server) = parts(server, self.held.bytes() / RESULTS);
-            self.around.server = server;
-            self.with(now, wire, |engine, now, out| engine.restart(now, control, terms, out));
+            // Its names stand at the places at which they stand already: both were made of the same version.
+            let results = self.held.bytes() / RESULTS;
+            let terms =
+                Terms { shares: server.shares, fresh: server.fresh, results, longest: server.longest };
+            self.with(now, wire, |engine, now, out| engine.restart(now, server.control, terms, out));
             if let Some(part) = self.around.part {
                 self.with(now, wire, |engine, now, out| engine.share(now, part, out));
             }
@@ -701,7 +721,7 @@
         for id in commands {
             match self.engine.command(id) {
                 Some(Command::Launch(method, body)) => {
-                    let name = self.around.server.methods.get(method.0).map_or("", String::as_str);
+                    let name = self.around.server.name(method).map_or("", |name| name);
                     wire.launch(id, name, body);
                 }
                 Some(Command::Resume(reply)) => wire.deliver(id, reply),
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -86,9 +86,10 @@
     /// used.
     reloads,
     reloads_failed,
-    /// Versions of the configuration that came into force, and final answers that parts of two had a hand in: a
-    /// defect.
+    /// Versions of the configuration that came into force, changes that were handed in and refused, and final answers
+    /// that parts of two versions had a hand in: a defect.
     changes,
+    changes_refused,
     half_applied,
     /// Snapshots of what was learned that were handed out to be written.
     snapshots,
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -6,6 +6,7 @@
 mod core;
 mod counters;
 mod hub;
+mod names;
 mod notices;
 mod operator;
 mod parties;
@@ -19,7 +20,9 @@
 mod tests;
 mod wire;
 
-use crate::change::{Changes, Content, Told, Wanted};
+use crate::change::{prepare, refused, Asked, Changes, Content, Glance, Pause, Prepared, Running, Told};
+use crate::change::{Wanted, What};
+use crate::control::Request;
 use crate::core::Core;
 use crate::hub::{buffers, Hub};
 use crate::parties::{report, Agent, Below, Broker, Sidecar};
@@ -29,10 +32,10 @@
 use crate::wire::{ConnId, LinkId};
 use asterrill::Us;
 use asterrill_conf::{File, Form};
-use asterrill_net::{drive, hold, listen, now, spawn, wait_until, Address, End, Outbox, Pause, Pool};
+use asterrill_net::{drive, hold, listen, now, spawn, turn, wait_until, Address, End, Outbox, Pause as Rest, Pool};
 use asterrill_protocol::{agent, frames, records};
 use asterrill_recovery::{phase, Moment};
-use asterrill_rollout::{start_with, Start};
+use asterrill_rollout::{start_with, Marked, Start, Wish};
 use asterrill_settings::{Deployment, Fault};
 use nanorand::{Rng, WyRand};
 use signal_hook::consts::{SIGHUP, SIGTERM, SIGUSR1};
@@ -111,19 +114,21 @@
     (Logger::root(drain.fuse(), o!()), guard)
 }
 
-fn told() -> Result<Deployment, Fault> {
+/// Reads the configuration file; what it has in common with what runs is shared with that.
+fn told(running: Option<&Content>) -> Result<Deployment, Fault> {
     let path = std::env::var("GW_CONFIG").map_err(|_| Fault::new("GW_CONFIG is not set".into()))?;
-    let json = std::fs::read_to_string(&path).map_err(|e| Fault::new(format!("{path}: {e}")))?;
-    asterrill_settings::read(&json).map_err(|fault| Fault::new(format!("{path}: {fault}")))
+    let file = std::fs::File::open(&path).map_err(|e| Fault::new(format!("{path}: {e}")))?;
+    let read = asterrill_settings::read_from(file, running.map(|running| &running.entries));
+    read.map_err(|fault| Fault::new(format!("{path}: {fault}")))
 }
 
 fn run(log: &Logger, arguments: &Arguments, operator: (File, String)) -> Result<(), Fault> {
-    let mut to = told()?;
+    let mut to = told(None)?;
     let (start, number, undone) = begin(&mut to, operator, log)?;
     let operator = start.file.clone();
-    let server = asterrill_settings::server(now(), to.seed, &to.server, None)?;
+    let server = asterrill_settings::server(now(), to.seed, &start.entries, None)?;
     let bodies = buffers(to.memory_mb) as u64;
-    let broker = operator::queues(now(), &operator, &server, to.seed, bodies)?;
+    let broker = operator::queues(now(), &operator, &start.entries, to.seed, bodies)?;
     if let Some(members) = &operator.members {
         peers::check(&to.name, members)?;
     }
@@ -139,7 +144,7 @@
     // Two pools, so that what is held can't keep what is owed from being written.
     let [pool, held] = [(); 2].map(|()| Pool::new(buffers(to.memory_mb)));
     // Where callers close idle connections by themselves; not told, none is idle too long.
-    let idle = asterrill_settings::maybe_time(&to.server["FamilyInfo"], "IdleMs")?;
+    let idle = start.entries.frame().idle;
     let idle = if idle > 0 { idle } else { Us::MAX };
     let agent_out = Outbox::new(&pool, LINK);
     let links = links(to.sockets);
@@ -156,11 +161,11 @@
         hub.take_queues(queues, out.clone());
         let (hub, pool) = (hub.clone(), pool.clone());
         let (least, most) = (Duration::from_micros(pause.0), Duration::from_micros(pause.1));
-        let pause = Pause::new(least, most, chance.generate());
+        let pause = Rest::new(least, most, chance.generate());
         spawn("broker", move || hold(&addresses, &out, &pool, true, pause, &mut Broker { hub }))?;
     }
     if let Some(terms) = operator.recovery {
-        let (settings, moment) = (change::hash_of(&to.server), moment());
+        let (settings, moment) = (start.settings(), moment());
         let state = operator.changes.state.as_deref();
         let kept = state.and_then(|dir| find_learned(dir, log));
         let (name, lasting, seed, memory_mb) = (to.name.clone(), state.is_some(), own, to.memory_mb);
@@ -182,10 +187,11 @@
         }
         None => None,
     };
-    let changes = Changes::new(start, number, undone, terms, to.seed, store)?;
+    let changes = Changes::new(start, number, undone, terms, to.seed, store.clone());
+    let running = changes.running();
     if let Some(path) = &operator.changes.control {
-        let (orders, hub) = (orders.clone(), hub.clone());
-        let want = move |wanted| orders.ask(wanted, || hub.clock.ring());
+        let (orders, hub, seed) = (orders.clone(), hub.clone(), to.seed);
+        let want = move |request| orders.request(request, &hub, terms, seed);
         control::listen(path, Arc::new(want), log)?;
     }
     let places = Arc::new(Places {
@@ -199,21 +205,24 @@
     {
         let (hub, orders, places) = (hub.clone(), orders.clone(), places.clone());
         let (handle, stop, peers) = (signals.handle(), to.stop, peers.clone());
-        spawn("clock", move || clock(&hub, &orders, &places, stop, changes, peers, &handle))?;
+        let leaving = Leaving { peers, store, stop, came: false };
+        spawn("clock", move || clock(&hub, &orders, &places, leaving, changes, &handle))?;
     }
     {
-        let (hub, seed, params) = (hub.clone(), to.seed, to.server.clone());
-        let (pool, pause) = (pool.clone(), Pause::new(ms(10), ms(1000), chance.generate()));
+        let (hub, seed, running) = (hub.clone(), to.seed, running.clone());
+        let (pool, pause) = (pool.clone(), Rest::new(ms(10), ms(1000), chance.generate()));
         let places = places.clone();
         spawn("agent", move || {
-            let make = move |at, cold| asterrill_settings::server(at, seed, &params, Some(cold)).ok();
+            let make = move |at, cold| {
+                asterrill_settings::server(at, seed, &running.get().entries, Some(cold)).ok()
+            };
             let (out, make) = (agent_out.clone(), Box::new(make));
             let mut party = Agent { hub, out, notices: agent::Reader::default(), make, useful: false };
             hold(&places.agent, &agent_out, &pool, true, pause, &mut party);
         })?;
     }
     for (i, out) in below.into_iter().enumerate() {
-        let (hub, pool, pause) = (hub.clone(), pool.clone(), Pause::new(ms(10), ms(200), chance.generate()));
+        let (hub, pool, pause) = (hub.clone(), pool.clone(), Rest::new(ms(10), ms(200), chance.generate()));
         let Some(records) = places.records.clone() else { break };
         spawn("below", move || {
             let (link, replies) = (LinkId(i), records::Reader::default());
@@ -222,7 +231,7 @@
         })?;
     }
     {
-        let (hub, pause) = (hub.clone(), Pause::new(ms(50), ms(1000), chance.generate()));
+        let (hub, pause) = (hub.clone(), Rest::new(ms(50), ms(1000), chance.generate()));
         let (name, places) = (to.name.clone(), places.clone());
         spawn("naming", move || report(&hub, &name, &places.naming, pause, spread))?;
     }
@@ -269,7 +278,10 @@
     for signal in signals.forever() {
         match signal {
             SIGTERM => orders.lock().leave = true,
-            SIGHUP => orders.lock().reload = Some(told()),
+            SIGHUP => {
+                let read = told(Some(&running.get())).map(|to| orders.reread(to, &running, &hub, terms));
+                orders.lock().reload = Some(read);
+            }
             _ => {
                 info!(log, "counters"; "of" => hub.counters(), "members" => peers.as_ref().map(|p| p.counters()))
             }
@@ -309,54 +321,125 @@
 #[derive(Default)]
 struct Order {
     leave: bool,
-    reload: Option<Result<Deployment, Fault>>,
+    reload: Option<Result<Reread, Fault>>,
+    /// Who waits to be told what a change is to be checked against.
+    glances: Vec<SyncSender<Glance>>,
     /// What operators want, and who waits for the answer.
     wants: Vec<(Wanted, SyncSender<Told>)>,
+    /// Nobody looks at orders any more.
+    over: bool,
+}
+
+impl Order {
+    /// Something is to be done.
+    fn waits(&self) -> bool {
+        self.leave || self.reload.is_some() || !self.glances.is_empty() || !self.wants.is_empty()
+    }
+}
+
+/// A configuration that was read again, and how its entries stood against what ran then, if they differ.
+struct Reread {
+    to: Deployment,
+    prepared: Option<Result<Prepared, Told>>,
 }
 
 const WANTS: usize = 16; // that wait at a time
 
 /// A version with its number, and what was undone.
-type Begin = (Content, u64, Vec<(String, u64)>);
+type Begin = (Content, u64, Vec<Marked>);
 
 /// What a start begins with: the configuration as it was told, or the last good version if that was on probation
 /// when the process before ended, or had been undone.
 fn begin(to: &mut Deployment, (file, text): (File, String), log: &Logger) -> Result<Begin, Fault> {
-    let told = Content::new(to, file, &text);
+    let told = Content::new(to.content.clone(), file, &text);
     let Some(dir) = told.file.changes.state.clone() else { return Ok((told, 1, Vec::new())) };
     std::fs::create_dir_all(&dir).unwrap_or_default(); // one that can't be made shows when it is written
-    let found = store::find(&dir, log);
-    match start_with(&told.text(), found.good, found.probation) {
+    match start_with(&told.hash(), store::find(&dir, log)) {
         Start::Told { number, undone } => Ok((told, number, undone)),
-        Start::Good { good, why } => match Content::parse(&good.text) {
+        Start::Good { good, undone, why } => match Content::recall(&good) {
             Ok(content) => {
                 info!(log, "started on the last good version"; "version" => good.number, "why" => why);
-                (to.server, to.memory_mb, to.sockets) =
-                    (content.settings.clone(), content.memory_mb, content.sockets);
-                Ok((content, good.number, good.undone))
+                let frame = content.entries.frame();
+                (to.memory_mb, to.sockets, to.content) =
+                    (frame.memory_mb, frame.sockets, content.entries.clone());
+                Ok((content, good.number, undone))
             }
             Err(fault) => {
                 warn!(log, "the last good version can't be used"; "why" => %fault);
-                Ok((told, good.number + 1, good.undone))
+                Ok((told, good.number + 1, undone))
             }
         },
     }
 }
 
+const PATIENCE: Duration = Duration::from_secs(5); // the worker answers by then
+
 impl Orders {
+    /// Carries a request out: a change is read and checked here, on the thread of who asks.
+    fn request(&self, request: Request, hub: &Hub, terms: change::Terms, seed: u64) -> Told {
+        let ring = || hub.clock.ring();
+        let read = |asked| match self.glance(ring) {
+            Some(glance) => prepare(&glance, asked, terms, seed),
+            None => Err(refused("nobody answers")),
+        };
+        let (told, is_change) = match request {
+            Request::Diff(asked) => (read(asked).map_or_else(|told| told, |prepared| prepared.told()), true),
+            Request::Stage(asked) => {
+                let stage = |prepared| self.ask(Wanted::Stage(Box::new(prepared)), ring);
+                (read(asked).map_or_else(|told| told, stage), true)
+            }
+            Request::Do(wanted) => {
+                let is_change = matches!(wanted, Wanted::Apply { .. });
+                (self.ask(wanted, ring), is_change)
+            }
+        };
+        if is_change && told["ok"] != serde_json::json!(true) {
+            hub.with(|core, _, _| core.counters().changes_refused += 1);
+        }
+        told
+    }
+
+    /// A configuration was read again: what differs from what runs is checked here, if anything does.
+    fn reread(&self, to: Deployment, running: &Running, hub: &Hub, terms: change::Terms) -> Reread {
+        if to.content.digest() == running.get().entries.digest() {
+            return Reread { to, prepared: None };
+        }
+        let what = What::Entries(to.content.clone());
+        let asked = Asked { what, base: None, wish: Wish::default() };
+        let glance = self.glance(|| hub.clock.ring());
+        let prepared = glance.map(|glance| prepare(&glance, asked, terms, to.seed));
+        Reread { to, prepared }
+    }
+
+    /// What a change is to be read and checked against; none where the worker does not answer.
+    fn glance(&self, ring: impl Fn()) -> Option<Glance> {
+        let (told, answer) = sync_channel(1);
+        {
+            let mut order = self.lock();
+            if order.over || order.glances.len() >= WANTS {
+                return None;
+            }
+            order.glances.push(told);
+        }
+        ring();
+        answer.recv_timeout(PATIENCE).ok()
+    }
+
     /// Brings what an operator wants to the worker and waits for the answer, so long at most.
     fn ask(&self, wanted: Wanted, ring: impl Fn()) -> Told {
         let (told, answer) = sync_channel(1);
         {
             let mut order = self.lock();
+            if order.over {
+                return refused("the server leaves");
+            }
             if order.wants.len() >= WANTS {
-                return serde_json::json!({"ok": false, "error": "too many wait to be answered"});
+                return refused("too many wait to be answered");
             }
             order.wants.push((wanted, told));
         }
         ring();
-        let late = |_| serde_json::json!({"ok": false, "error": "no answer within 5 s: ask for the status"});
-        answer.recv_timeout(Duration::from_secs(5)).unwrap_or_else(late)
+        answer.recv_timeout(PATIENCE).unwrap_or_else(|_| refused("no answer within 5 s: ask for the status"))
     }
     fn lock(&self) -> MutexGuard<'_, Order> {
         self.0.lock().unwrap_or_else(|e| e.into_inner())
@@ -389,37 +472,90 @@
 }
 
 /// The configuration was read again. One that can't be used changes nothing.
-fn reload(hub: &Hub, places: &Places, stop: &mut Us, to: Result<Deployment, Fault>, changes: &mut Changes) {
-    let fine = to.is_ok();
+fn reload(
+    hub: &Hub, places: &Places, stop: &mut Us, read: Result<Reread, Fault>,
+) -> Option<(Deployment, Option<Result<Prepared, Told>>)> {
+    let fine = read.is_ok();
     hub.with(|core, _, _| {
         core.counters().reloads += u64::from(fine);
         core.counters().reloads_failed += u64::from(!fine);
     });
-    match to {
-        Ok(to) => {
+    match read {
+        Ok(Reread { to, prepared }) => {
             *stop = to.stop;
             places.go_over(hub, &to);
             info!(hub.log, "the configuration was read again"; "agent" => %to.agent, "naming" => %to.naming);
-            changes.reread(hub, &to);
+            Some((to, prepared))
+        }
+        Err(fault) => {
+            warn!(hub.log, "the configuration stays as it was"; "why" => %fault);
+            None
+        }
+    }
+}
+
+/// What is done at the notice to leave.
+struct Leaving {
+    peers: Option<Arc<Peers>>,
+    store: Option<Store>,
+    stop: Us,
+    came: bool,
+}
+
+impl Leaving {
+    /// What was learned is written down, at its beat or since the notice came.
+    fn keep_learned(&self, hub: &Hub, leaving: bool) {
+        if let Some(learned) = hub.with(|core, _, now| core.snapshot(now, moment, leaving)) {
+            self.store.iter().for_each(|store| store.keep_learned(learned.clone()));
         }
-        Err(fault) => warn!(hub.log, "the configuration stays as it was"; "why" => %fault),
+    }
+    /// The notice came. Of the moment before it leaves: what a drain does to the figures is not worth learning.
+    fn notice(&mut self, hub: &Hub) {
+        let first = !std::mem::replace(&mut self.came, true);
+        self.keep_learned(hub, first);
+        self.peers.iter().for_each(|peers| peers.leave());
+        hub.with(|core, wire, now| core.drain(now, self.stop, wire));
     }
 }
 
+/// Between two slices of a change: all others get their turn, time passes for the core, and the notice to leave is not
+/// held up. It is told to the module as it is in force; the slices that are left go in after it.
+fn between(hub: &Hub, orders: &Orders, leaving: &mut Leaving, came: bool) {
+    turn();
+    if !leaving.came && (came || orders.lock().leave) {
+        leaving.notice(hub);
+    }
+    pass(hub);
+}
+
+/// Lets time pass for the core, if something is due.
+fn pass(hub: &Hub) {
+    hub.with(|core, wire, now| {
+        if core.next().is_some_and(|at| at <= now) {
+            core.tick(now, wire);
+        }
+    });
+}
+
 /// Lets time pass for the core, and ends the program once it has left.
 fn clock(
-    hub: &Hub, orders: &Orders, places: &Places, mut stop: Us, mut changes: Changes,
-    peers: Option<Arc<Peers>>, handle: &Handle,
+    hub: &Hub, orders: &Orders, places: &Places, mut leaving: Leaving, mut changes: Changes, handle: &Handle,
 ) {
-    let mut left = false;
+    let peers = leaving.peers.clone();
     hub.clock.attend();
     hub.with(|core, wire, now| core.start(now, wire));
     loop {
         let at = hub.arm(changes.next());
-        wait_until(at.min(now() + LOOK));
+        // Who rang while a change went in slice by slice was not waited for.
+        wait_until(if orders.lock().waits() { 0 } else { at.min(now() + LOOK) });
         let order = std::mem::take(&mut *orders.lock());
-        if let Some(to) = order.reload {
-            reload(hub, places, &mut stop, to, &mut changes);
+        for told in order.glances {
+            told.try_send(changes.glance(hub)).unwrap_or_default();
+        }
+        let reread = order.reload.and_then(|read| reload(hub, places, &mut leaving.stop, read));
+        let pause: &mut Pause<'_> = &mut |hub| between(hub, orders, &mut leaving, order.leave);
+        if let Some((to, prepared)) = reread {
+            changes.reread(hub, to, prepared, pause);
         }
         for (wanted, told) in order.wants {
             let answer = match (&wanted, &peers) {
@@ -430,36 +566,30 @@
                     peers.wish(wish.clone(), told);
                     continue;
                 }
-                _ => changes.want(hub, wanted),
+                _ => changes.want(hub, wanted, pause),
             };
             // Whoever asked may have gone meanwhile.
             told.try_send(answer).unwrap_or_default();
         }
-        // Of the moment before it leaves: what a drain does to the figures is not worth learning.
-        let leaving = order.leave && !std::mem::replace(&mut left, true);
-        if let Some(learned) = hub.with(|core, _, now| core.snapshot(now, moment, leaving)) {
-            changes.keep_learned(learned);
-        }
         if order.leave {
+            leaving.notice(hub);
             changes.leave();
-            peers.iter().for_each(|peers| peers.leave());
-            hub.with(|core, wire, now| core.drain(now, stop, wire));
+        } else {
+            leaving.keep_learned(hub, false);
         }
         if now() > at.saturating_add(LATE) {
             wait_until(now() + SETTLE);
         }
-        hub.with(|core, wire, now| {
-            if core.next().is_some_and(|at| at <= now) {
-                core.tick(now, wire);
-            }
-        });
-        changes.tick(hub);
+        pass(hub);
+        changes.tick(hub, &mut |hub| between(hub, orders, &mut leaving, false));
         if hub.with(|core, _, _| core.left()) {
             hub.close();
             let until = now() + CLOSING;
             while !hub.closed() && now() < until {
                 wait_until(now() + SETTLE);
             }
+            // Whoever waits for an answer is not kept waiting.
+            *orders.lock() = Order { over: true, ..Order::default() };
             handle.close();
             return;
         }
--- a/daemon/src/operator.rs
+++ b/daemon/src/operator.rs
@@ -1,12 +1,13 @@
 //! The operator's file, made into what is switched on by it.
 
 use crate::queues::{Queues, Setup};
-use asterrill::{MethodId, Us};
+use asterrill::{Say, Us};
 use asterrill_conf::{Broker, File, Redelivered};
-use asterrill_consumer::{Methods, Select, Terms};
+use asterrill_consumer::{Select, Terms};
+use asterrill_entries::{Content, Kind};
 use asterrill_net::Address;
 use asterrill_protocol::amqp::{Credentials, Login};
-use asterrill_settings::{Fault, Server};
+use asterrill_settings::Fault;
 use std::path::Path;
 
 const SHARE: u64 = 4; // of the bodies held, the share of one in so many for all queues
@@ -27,26 +28,19 @@
 /// The queues, where their broker is, and the least and longest pause between connections, in microseconds.
 pub type Consumption = (Queues, Address, (Us, Us));
 
-/// The methods that there are, with their effects.
-pub fn methods(server: &Server) -> Methods {
-    let effect = |id: &MethodId| server.effects.get(id.0).copied();
-    let of_method = |(name, id): (&String, &MethodId)| Some((name.clone(), (*id, effect(id)?)));
-    server.methods.iter().filter_map(of_method).collect()
-}
-
-/// The terms of each queue. What the server does not know is named.
-pub fn terms(broker: Option<&Broker>, server: &Server) -> Result<Vec<Terms>, Fault> {
+/// The terms of each queue. What the version does not know is named.
+pub fn terms(broker: Option<&Broker>, content: &Content) -> Result<Vec<Terms>, Fault> {
     let mut terms = Vec::new();
     for queue in broker.iter().flat_map(|broker| &broker.queues) {
         let mut known = queue.method.otherwise.iter().chain(queue.method.means.values());
-        if let Some(name) = known.find(|name| !server.methods.contains_key(*name)) {
+        if let Some(name) = known.find(|name| content.method(name).is_none()) {
             return Err(Fault::new(format!("queue {}: there is no method {name}", queue.name)));
         }
         let mut known = queue.tenant.otherwise.iter().chain(queue.tenant.means.values());
-        if let Some(name) = known.find(|name| !server.tenants.contains_key(*name)) {
+        if let Some(name) = known.find(|name| content.tenant(name).is_none()) {
             return Err(Fault::new(format!("queue {}: there is no tenant {name}", queue.name)));
         }
-        if !server.tenants.is_empty() && queue.tenant == asterrill_conf::Select::default() {
+        if content.count(Kind::Tenant) > 0 && queue.tenant == asterrill_conf::Select::default() {
             let text = "tenants are told apart here: it wants tenant or tenant-header";
             return Err(Fault::new(format!("queue {}: {text}", queue.name)));
         }
@@ -70,9 +64,9 @@
 
 /// What is to be consumed, if anything. `bodies`: of RPCs, for which there is memory.
 pub fn queues(
-    now: Us, file: &File, server: &Server, seed: u64, bodies: u64,
+    now: Us, file: &File, content: &Content, seed: u64, bodies: u64,
 ) -> Result<Option<Consumption>, Fault> {
-    let terms = terms(file.broker.as_ref(), server)?;
+    let terms = terms(file.broker.as_ref(), content)?;
     let Some(broker) = file.broker.clone() else { return Ok(None) };
     let password = asterrill_conf::read_secret(&broker.password_file);
     let password = password.map_err(|fault| Fault::new(fault.to_string()))?;
@@ -84,12 +78,10 @@
             body_most: broker.body as usize,
         },
         terms,
-        methods: methods(server),
-        tenants: server.tenants.clone(),
         seed,
-        cores: server.cores,
+        cores: content.frame().cores as f64,
         room: (bodies / SHARE) as f64,
-        credit: server.credit,
+        credit: content.frame().say == Say::Credit,
     };
     let Some(addresses) = Address::first_of(&broker.addresses) else { return Ok(None) };
     Ok(Some((Queues::new(now, setup), addresses, broker.reconnect)))
--- a/daemon/src/queues.rs
+++ b/daemon/src/queues.rs
@@ -2,11 +2,10 @@
 //! What the queues want of the engine is handed on to the core; all else is carried out here.
 
 use asterrill::{Final, RpcId, Us};
-use asterrill_consumer::{Do, Methods, Offer, Queue, Terms, WorkId};
+use asterrill_consumer::{Do, Known, Offer, Queue, Terms, WorkId};
 use asterrill_engine::Read;
 use asterrill_protocol::amqp::{Channel, Delivery, Event, Login, Reply, Session, State};
 use nanorand::{Rng, WyRand};
-use std::collections::BTreeMap;
 use std::fmt;
 
 const ANSWERS: Channel = Channel(1); // the channel by which answers are published; the queues follow
@@ -19,8 +18,6 @@
 pub struct Setup {
     pub login: Login,
     pub terms: Vec<Terms>,
-    pub methods: asterrill_consumer::Methods,
-    pub tenants: BTreeMap<String, usize>,
     pub seed: u64,
     pub cores: f64,
     /// Deliveries of one queue for which there is memory.
@@ -68,10 +65,8 @@
 impl Queues {
     pub fn new(now: Us, setup: Setup) -> Queues {
         let mut chance = WyRand::new_seed(setup.seed);
-        let Setup { methods, tenants, .. } = setup;
-        let queue = |(i, terms): (usize, Terms)| {
-            Queue::new(now, i as u16 + 1, chance.generate(), terms, methods.clone(), tenants.clone())
-        };
+        let queue =
+            |(i, terms): (usize, Terms)| Queue::new(now, i as u16 + 1, chance.generate(), terms);
         let queues = setup.terms.into_iter().enumerate().map(queue).collect();
         Queues {
             session: Session::new(setup.login),
@@ -93,9 +88,7 @@
         self.queues.len() + terms.iter().filter(fresh).count() <= QUEUES
     }
     /// Other queues and terms from now on: what is not named is left, and what is new is consumed.
-    pub fn change(
-        &mut self, now: Us, terms: Vec<Terms>, methods: &Methods, tenants: &BTreeMap<String, usize>,
-    ) {
+    pub fn change(&mut self, now: Us, terms: Vec<Terms>) {
         if self.leaving {
             return;
         }
@@ -107,11 +100,11 @@
         for terms in terms {
             let known = self.queues.iter_mut().find(|queue| queue.terms().queue == terms.queue);
             if let Some(queue) = known {
-                queue.change(terms, methods.clone(), tenants.clone());
+                queue.change(terms);
                 continue;
             }
             let (number, seed) = (self.queues.len() as u16 + 1, self.chance.generate());
-            let mut queue = Queue::new(now, number, seed, terms, methods.clone(), tenants.clone());
+            let mut queue = Queue::new(now, number, seed, terms);
             if self.session.state() == State::Up {
                 queue.up(now);
             }
@@ -148,11 +141,14 @@
         self.left || self.leaving && self.session.state() == State::Down
     }
 
-    /// Takes what the broker sent. The error is why the connection is of no more use.
-    pub fn read(&mut self, now: Us, mut bytes: &[u8], logs: &mut Vec<String>) -> Result<(), String> {
+    /// Takes what the broker sent; `known`: what is in force, by which deliveries find their way. The error is why the
+    /// connection is of no more use.
+    pub fn read(
+        &mut self, now: Us, mut bytes: &[u8], logs: &mut Vec<String>, known: &dyn Known,
+    ) -> Result<(), String> {
         loop {
             match self.session.read(now, &mut bytes) {
-                Ok(Some(event)) => self.take(now, event, logs)?,
+                Ok(Some(event)) => self.take(now, event, logs, known)?,
                 Ok(None) => return Ok(()),
                 Err(fault) => {
                     self.counts.bad_broker += 1;
@@ -163,7 +159,9 @@
         }
     }
 
-    fn take(&mut self, now: Us, event: Event, logs: &mut Vec<String>) -> Result<(), String> {
+    fn take(
+        &mut self, now: Us, event: Event, logs: &mut Vec<String>, known: &dyn Known,
+    ) -> Result<(), String> {
         match event {
             Event::Up => {
                 self.counts.up += 1;
@@ -178,7 +176,7 @@
             Event::Cancelled { channel, by_broker } => {
                 self.at(channel).into_iter().for_each(|queue| queue.cancelled(now, by_broker));
             }
-            Event::Delivered(delivery) => self.delivered(now, *delivery),
+            Event::Delivered(delivery) => self.delivered(now, *delivery, known),
             Event::Confirmed { number, multiple, arrived } => {
                 self.queues.iter_mut().for_each(|queue| queue.confirmed(now, number, multiple, arrived));
             }
@@ -212,9 +210,9 @@
         Ok(())
     }
 
-    fn delivered(&mut self, now: Us, delivery: Delivery) {
+    fn delivered(&mut self, now: Us, delivery: Delivery, known: &dyn Known) {
         if let Some(queue) = self.at(delivery.tag.channel) {
-            queue.delivered(now, delivery);
+            queue.delivered(now, delivery, known);
         }
     }
 
--- a/daemon/src/returning.rs
+++ b/daemon/src/returning.rs
@@ -4,10 +4,10 @@
 use asterrill::{CallerId, Care, Experience, MethodId, Standing, Us};
 use asterrill_conf::Recovery;
 use asterrill_engine::Counts;
+use asterrill_entries::Name;
 use asterrill_recovery::{
-    weigh, Beat, Evidence, Kept, Learned, Moment, Opening, Present, Seen, Stage, Stages, Terms,
+    weigh, Beat, Evidence, Kept, Learned, Moment, Opening, Present, Seen, Stage, Stages, Targets, Terms, METHODS, TENANTS,
 };
-use std::collections::BTreeMap;
 
 const LOOK: Us = 100_000; // between looks at what was served and called
 
@@ -26,12 +26,15 @@
     pub lasting: bool,
 }
 
-/// The names of what the module numbers.
-pub struct Known<'a> {
-    pub methods: &'a BTreeMap<String, MethodId>,
-    /// Of methods that there are, their latency targets.
-    pub targets: &'a BTreeMap<String, Us>,
-    pub tenants: &'a BTreeMap<String, usize>,
+/// Who knows the names of what the module numbers, as far as it is in force.
+pub trait Known {
+    fn targets(&self) -> &dyn Targets;
+    /// The name of a method, and its latency target.
+    fn named(&self, method: MethodId) -> Option<(&Name, Us)>;
+    fn place(&self, method: &str) -> Option<MethodId>;
+    fn tenant(&self, name: &str) -> Option<usize>;
+    /// All tenants with their places, in any order.
+    fn tenants(&self) -> Vec<(&Name, usize)>;
 }
 
 pub struct Returning {
@@ -72,7 +75,7 @@
     /// The agent has greeted for the first time: what was kept is weighed. Hands back what the module is to recall,
     /// and what became of each value, in words.
     pub fn greeted(
-        &mut self, now: Us, empty: bool, standing: Standing, known: &Known<'_>,
+        &mut self, now: Us, empty: bool, standing: Standing, known: &dyn Known,
     ) -> Option<(Experience, String)> {
         if std::mem::replace(&mut self.weighed, true) {
             return None;
@@ -85,12 +88,12 @@
         let kept = self.start.kept.take()?;
         let Start { name, settings, cores, memory_mb, moment, terms, .. } = &self.start;
         let (settings, cores, memory_mb, moment) = (*settings, *cores, *memory_mb, *moment);
-        let (trust, targets) = (terms.trust, known.targets);
+        let (trust, targets) = (terms.trust, known.targets());
         let present = Present { name, settings, cores, memory_mb, moment, empty, trust, targets };
         let recall = weigh(&kept, &present);
         let told = format!("{} (age {} ms)", recall.told(), recall.age / 1000);
-        let cost = |(name, mean, runs): &(String, f64, f64)| Some((*known.methods.get(name)?, *mean, *runs));
-        let tenant = |(name, room): &(String, f64)| Some((*known.tenants.get(name)?, *room));
+        let cost = |(name, mean, runs): &(String, f64, f64)| Some((known.place(name)?, *mean, *runs));
+        let tenant = |(name, room): &(String, f64)| Some((known.tenant(name)?, *room));
         let experience = Experience {
             costs: recall.costs.iter().filter_map(cost).collect(),
             target: recall.target,
@@ -136,26 +139,36 @@
         self.start.lasting && self.weighed && (self.snapshot.due(now) || leaving)
     }
 
-    /// What is to be kept. Methods of which nothing was learned, and those that are gone, are left out.
-    pub fn snapshot(&self, moment: Moment, learned: Experience, known: &Known<'_>) -> Learned {
-        let named = |(name, id): (&String, &MethodId)| {
-            let (_, mean, runs) = learned.costs.iter().find(|(m, _, runs)| m == id && *runs > 0.0)?;
-            let target = *known.targets.get(name)?;
-            Some(Kept { name: name.clone(), target, mean: *mean, runs: *runs })
+    /// What is to be kept. Methods of which nothing was learned, and those that are gone, are left out. In the order of
+    /// names, as many as a snapshot holds.
+    pub fn snapshot(&self, moment: Moment, learned: Experience, known: &dyn Known) -> Learned {
+        let of_method = |(method, mean, runs): &(MethodId, f64, f64)| {
+            let (name, target) = known.named(*method).filter(|_| *runs > 0.0)?;
+            Some((name, target, *mean, *runs))
+        };
+        let mut methods: Vec<_> = learned.costs.iter().filter_map(of_method).collect();
+        first(&mut methods, METHODS, |(name, ..)| name);
+        let kept = |(name, target, mean, runs): (&Name, Us, f64, f64)| {
+            Kept { name: name.to_string(), target, mean, runs }
+        };
+        let mut tenants = known.tenants();
+        first(&mut tenants, TENANTS, |(name, _)| name);
+        let room = |(name, place): (&Name, usize)| {
+            let at = learned.tenants.binary_search_by_key(&place, |(place, _)| *place).ok()?;
+            Some((name.to_string(), learned.tenants.get(at)?.1))
         };
-        let room = |(name, at): (&String, &usize)| Some((name.clone(), learned.tenants.get(*at)?.1));
         Learned {
             name: self.start.name.clone(),
             settings: self.start.settings,
             cores: self.start.cores,
             memory_mb: self.start.memory_mb,
             moment,
-            methods: known.methods.iter().filter_map(named).collect(),
+            methods: methods.into_iter().map(kept).collect(),
             target: learned.target.unwrap_or(0.0),
             pace: learned.pace.unwrap_or(0.0),
             failures: learned.failures,
             accounts: learned.accounts.iter().map(|(caller, share)| (caller.0, *share)).collect(),
-            tenants: known.tenants.iter().filter_map(room).collect(),
+            tenants: tenants.into_iter().filter_map(room).collect(),
         }
     }
 
@@ -164,3 +177,12 @@
         self.opening.as_ref().map_or(0, |opening| opening.outages)
     }
 }
+
+/// Keeps the first by name, in their order; linear in all, so that a few of many cost no sorting of all.
+fn first<T, N: Ord>(all: &mut Vec<T>, most: usize, name: impl Fn(&T) -> N) {
+    if all.len() > most {
+        all.select_nth_unstable_by_key(most, &name);
+        all.truncate(most);
+    }
+    all.sort_unstable_by_key(name);
+}
--- a/daemon/src/service.rs
+++ b/daemon/src/service.rs
@@ -1,7 +1,9 @@
-//! What was read and served of each method, for the watch over a change of the configuration.
+//! What was read and served of each method, for the watch over a change of the configuration. A look costs what was
+//! asked for since the last one, whatever the number of methods.
 
 use asterrill::{MethodId, Us};
 use asterrill_engine::Served;
+use asterrill_entries::Name;
 use asterrill_rollout::{Counted, Sample, Seen};
 
 const HALF: Us = 30_000_000; // of the minute that is looked back on
@@ -18,11 +20,18 @@
     spoilt: u64,
     /// Read in this half of the minute, and in the one before.
     minute: (u64, u64),
+    /// It is among those that were touched since the last look, and among those read in the minute.
+    touched: bool,
+    recent: bool,
 }
 
 /// Of all methods, by their places.
 pub struct Service {
     of: Vec<Of>,
+    /// The places that were read or answered since the last look.
+    touched: Vec<usize>,
+    /// The places of which something was read in the minute.
+    recent: Vec<usize>,
     half: Us,
     start: Us,
 }
@@ -30,22 +39,28 @@
 impl Service {
     pub fn new(now: Us, targets: Vec<Us>) -> Service {
         let of = |target| Of { target, judged: target, ..Of::default() };
-        Service { of: targets.into_iter().map(of).collect(), half: now, start: now }
+        let of = targets.into_iter().map(of).collect();
+        Service { of, touched: Vec::new(), recent: Vec::new(), half: now, start: now }
     }
     /// The target of a method of a version that comes into force.
     pub fn target(&mut self, place: usize, target: Us) {
         if place >= self.of.len() {
             self.of.resize(place + 1, Of { target, judged: target, ..Of::default() });
         }
-        self.of[place].target = target;
+        self.of.get_mut(place).into_iter().for_each(|of| of.target = target);
     }
     pub fn settled(&mut self) {
         self.of.iter_mut().for_each(|of| of.judged = of.target);
     }
     pub fn read(&mut self, method: MethodId) {
-        if let Some(of) = self.of.get_mut(method.0) {
-            of.read += 1;
-            of.minute.0 += 1;
+        let Some(of) = self.of.get_mut(method.0) else { return };
+        of.read += 1;
+        of.minute.0 += 1;
+        if !std::mem::replace(&mut of.touched, true) {
+            self.touched.push(method.0);
+        }
+        if !std::mem::replace(&mut of.recent, true) {
+            self.recent.push(method.0);
         }
     }
     pub fn answered(&mut self, served: Served, ok: bool) {
@@ -54,19 +69,25 @@
         of.asked += 1;
         of.in_time += u64::from(in_time);
         of.spoilt += u64::from(!in_time && served.spoilt);
+        if !std::mem::replace(&mut of.touched, true) {
+            self.touched.push(served.method.0);
+        }
     }
     /// What came since the last time.
-    pub fn take(&mut self, names: &[String], cost: impl Fn(MethodId) -> f64) -> Sample {
+    pub fn take(
+        &mut self, name: impl Fn(MethodId) -> Option<Name>, cost: impl Fn(MethodId) -> f64,
+    ) -> Sample {
         let mut sample = Sample::default();
-        for (place, of) in self.of.iter_mut().enumerate().filter(|(_, of)| of.read > 0 || of.asked > 0) {
+        for place in self.touched.drain(..) {
+            let Some(of) = self.of.get_mut(place) else { continue };
             let counted = Counted {
                 asked: of.asked as f64,
                 in_time: of.in_time as f64,
                 spoilt: of.spoilt as f64,
                 work: of.read as f64 * cost(MethodId(place)),
             };
-            (of.read, of.asked, of.in_time, of.spoilt) = (0, 0, 0, 0);
-            sample.methods.extend(names.get(place).map(|name| (name.clone(), counted)));
+            (of.read, of.asked, of.in_time, of.spoilt, of.touched) = (0, 0, 0, 0, false);
+            sample.methods.extend(name(MethodId(place)).map(|name| (name, counted)));
         }
         sample
     }
@@ -74,16 +95,26 @@
     pub fn pass(&mut self, now: Us) {
         if now >= self.half.saturating_add(HALF) {
             self.half = now;
-            self.of.iter_mut().for_each(|of| of.minute = (0, of.minute.0));
+            let of = &mut self.of;
+            self.recent.retain(|place| {
+                let Some(of) = of.get_mut(*place) else { return false };
+                of.minute = (0, of.minute.0);
+                of.recent = of.minute.1 > 0;
+                of.recent
+            });
         }
     }
     /// What was read in the last minute.
-    pub fn seen(&self, now: Us, names: &[String], cost: impl Fn(MethodId) -> f64) -> Seen {
-        let count = |of: &Of| (of.minute.0 + of.minute.1) as f64;
-        let named = self.of.iter().enumerate().filter(|(_, of)| count(of) > 0.0);
-        let entry =
-            |(place, of): (usize, &Of)| Some((names.get(place)?.clone(), (count(of), cost(MethodId(place)))));
+    pub fn seen(
+        &self, now: Us, name: impl Fn(MethodId) -> Option<Name>, cost: impl Fn(MethodId) -> f64,
+    ) -> Seen {
+        let entry = |place: &usize| {
+            let of = self.of.get(*place)?;
+            let count = (of.minute.0 + of.minute.1) as f64;
+            Some((name(MethodId(*place))?, (count, cost(MethodId(*place)))))
+        };
         let span = now.saturating_sub(self.half.saturating_sub(HALF).max(self.start));
-        Seen { methods: named.filter_map(entry).collect(), seconds: span as f64 / 1e6, ..Seen::default() }
+        let methods = self.recent.iter().filter_map(entry).collect();
+        Seen { methods, seconds: span as f64 / 1e6, ..Seen::default() }
     }
 }
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -1,12 +1,14 @@
 //! The core against a stand-in for the agent, the layer below and the sidecars: seeded random runs with the
 //! rules checked after every step, and plain cases.
 
-use crate::core::Core;
+use crate::core::{Core, Flip};
 use crate::wire::{ConnId, LinkId, Place, Wire};
 use asterrill::{CallEnd, CallerId, Final, RpcId, RunEnd, Us};
+use asterrill_entries::{Change as Entry, Content as Entries, Kind};
 use asterrill_net::Pool;
 use asterrill_protocol::agent::NoticeId;
 use asterrill_protocol::frames::{Ask, StreamId};
+use asterrill_settings::Server;
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -32,6 +34,31 @@
         "StepMs": 4})
 }
 
+/// The entries of such settings.
+pub(crate) fn content(settings: &Value) -> Entries {
+    let nowhere = "127.0.0.1:1";
+    let whole = json!({"name": "n1", "listen": nowhere, "agent": nowhere, "naming": nowhere, "seed": "1",
+        "stop_ms": 900, "limits": {"memory_mb": 64, "sockets": 64}, "settings": settings});
+    asterrill_settings::read(&whole.to_string()).unwrap().content
+}
+pub(crate) fn made(at: Us, seed: u64, settings: &Value, cold: Option<bool>) -> Server {
+    asterrill_settings::server(at, seed, &content(settings), cold).unwrap()
+}
+/// What turns over to a version once its entries are in.
+fn flip(at: Us, number: u64, to: &Entries) -> Flip {
+    let bare = asterrill_settings::frame(at, 1, to).unwrap();
+    let longest = to.methods().map(|(_, method)| method.latency_target).max().unwrap_or(0);
+    let tells_tenants = to.count(Kind::Tenant) > 0;
+    Flip { number, bare: Some(bare), longest, queues: Vec::new(), tells_tenants }
+}
+/// A change from one version to another, whole.
+fn change(core: &mut Core, at: Us, from: &Entries, to: &Entries, number: u64, out: &mut Out) {
+    let step = from.changes_to(to);
+    core.could_take(&step, &[]).unwrap();
+    core.stage(&step);
+    core.change(at, flip(at, number, to), out);
+}
+
 enum Told {
     Ended(RpcId, RunEnd, Vec<u8>),
     CallNeeded(RpcId, Vec<u8>),
@@ -193,6 +220,9 @@
     next: u64,
     killed: Option<Us>,
     version: u64,
+    entries: Entries,
+    /// A version that is going in, and what of it is still to be staged.
+    coming: Option<(Entries, VecDeque<Entry>)>,
 }
 
 impl World {
@@ -200,13 +230,27 @@
         World::of(seed, &server())
     }
     fn of(seed: u64, settings: &Value) -> World {
-        let made = asterrill_settings::server(START, seed, settings, None).unwrap();
-        let mut core = Core::new(START, made, Pool::new(500), 4);
+        let mut core = Core::new(START, made(START, seed, settings, None), Pool::new(500), 4);
         let mut out = Out::default();
         core.start(START, &mut out);
         core.agent_link(START);
         core.agent_up(START, None, &mut out);
-        World { core, out, now: START, asks: BTreeMap::new(), read: 0, next: 0, killed: None, version: 1 }
+        World::with(core, out, START, settings)
+    }
+    fn with(core: Core, out: Out, now: Us, settings: &Value) -> World {
+        let entries = content(settings);
+        World {
+            core,
+            out,
+            now,
+            asks: BTreeMap::new(),
+            read: 0,
+            next: 0,
+            killed: None,
+            version: 1,
+            entries,
+            coming: None,
+        }
     }
 
     /// Tries of one read have one key and one body.
@@ -342,8 +386,16 @@
         self.core.gone(self.now, place, &mut self.out);
     }
 
-    /// Another version comes into force: methods in another order, one less, other memory and cores.
+    /// Another version comes into force: methods in another order, one less, other memory and cores. What was coming
+    /// in comes into force first.
     fn change(&mut self, n: usize) {
+        self.begin_change(n);
+        self.go_on_changing(usize::MAX);
+    }
+
+    /// Another version begins to come in; one that was coming in is in force before that.
+    fn begin_change(&mut self, n: usize) {
+        self.go_on_changing(usize::MAX);
         let mut settings = server();
         let methods = settings["Categories"].as_array_mut().unwrap();
         match n % 4 {
@@ -365,9 +417,28 @@
             let acme = json!({"Name": "acme", "QuotaRps": 1_000_000});
             settings["Tenants"] = if n % 10 == 4 { json!([other, acme]) } else { json!([other]) };
         }
+        let to = content(&settings);
+        let step = self.entries.changes_to(&to);
+        self.core.could_take(&step, &[]).unwrap();
+        self.coming = Some((to, step.into()));
+    }
+
+    /// So many entries of the version that is coming in go in beside what is in force; with the last of them it turns
+    /// over, whole.
+    fn go_on_changing(&mut self, entries: usize) {
+        let Some((to, mut step)) = self.coming.take() else { return };
+        let slice: Vec<Entry> = step.drain(..entries.min(step.len())).collect();
+        self.core.stage(&slice);
+        if !step.is_empty() {
+            self.coming = Some((to, step));
+            return;
+        }
         self.version += 1;
-        let made = asterrill_settings::server(self.now, 1, &settings, None).unwrap();
-        self.core.change(self.now, made, Vec::new(), self.version, &mut self.out).unwrap();
+        self.core.change(self.now, flip(self.now, self.version, &to), &mut self.out);
+        self.entries = to;
+        if self.version.is_multiple_of(2) {
+            self.core.settled();
+        }
         let _ = self.core.served();
     }
 
@@ -401,6 +472,8 @@
             12 if n.is_multiple_of(3) => self.out.deaf = true,
             12 => self.link_up(),
             11 if n % 4 == 1 => self.change(n / 4),
+            11 if n % 4 == 2 => self.begin_change(n / 4),
+            11 => self.go_on_changing(1 + n % 2),
             13 if n.is_multiple_of(8) => {
                 let link = LinkId(n / 8 % 4);
                 self.out.called.retain(|_, on| *on != link);
@@ -888,7 +961,7 @@
 #[test]
 fn a_notice_to_leave_before_the_agent_greets_counts_from_when_it_came() {
     for greets in [50, 250] {
-        let made = |at| asterrill_settings::server(at, 1, &server(), Some(true)).unwrap();
+        let made = |at| made(at, 1, &server(), Some(true));
         let (mut core, mut out) = (Core::new(START, made(START), Pool::new(500), 4), Out::default());
         core.start(START, &mut out);
         core.drain(START, 1_000 * MS, &mut out);
@@ -897,8 +970,7 @@
         // The agent started before the notice, or after it.
         core.agent_up(up, Some(made(up - 100 * MS)), &mut out);
         assert!(!out.serving.contains(&true), "it never says that it takes work: {:?}", out.serving);
-        let mut w =
-            World { core, out, now: up, asks: BTreeMap::new(), read: 0, next: 0, killed: None, version: 1 };
+        let mut w = World::with(core, out, up, &server());
         w.ask(1, "book", 900 * MS, None);
         assert_eq!(w.out.runs.len(), 1, "within the grace it is run");
         w.pass(START + 420 * MS - w.now);
@@ -943,15 +1015,14 @@
 
 #[test]
 fn a_change_before_the_agent_is_up_and_one_while_its_link_is_away_are_kept() {
-    let made = asterrill_settings::server(START, 1, &server(), None).unwrap();
-    let (mut core, mut out) = (Core::new(START, made, Pool::new(500), 4), Out::default());
+    let first = made(START, 1, &server(), None);
+    let (mut core, mut out) = (Core::new(START, first, Pool::new(500), 4), Out::default());
     core.start(START, &mut out);
     let mut settings = server();
     settings["Categories"].as_array_mut().unwrap().pop();
-    let made = asterrill_settings::server(START, 1, &settings, None).unwrap();
-    core.change(START, made, Vec::new(), 2, &mut out).unwrap();
+    change(&mut core, START, &content(&server()), &content(&settings), 2, &mut out);
     // The agent's greeting brings a module made anew from the first settings: too late for those.
-    let stale = asterrill_settings::server(START, 1, &server(), Some(true)).unwrap();
+    let stale = made(START, 1, &server(), Some(true));
     core.agent_link(START);
     core.agent_up(START, Some(stale), &mut out);
     let place = Place { conn: ConnId(1), stream: StreamId(1) };
@@ -976,8 +1047,8 @@
 fn cost_of_a_change_with_1000_in_hand_and_of_the_watch_for_an_rpc() {
     let mut settings = server();
     (settings["FamilyInfo"]["RamKb"], settings["FamilyInfo"]["NCores"]) = (json!(1_000_000), json!(1_500));
-    let made = |settings: &Value| asterrill_settings::server(START, 1, settings, None).unwrap();
-    let (mut core, mut out) = (Core::new(START, made(&settings), Pool::new(4_000), 4), Out::default());
+    let first = made(START, 1, &settings, None);
+    let (mut core, mut out) = (Core::new(START, first, Pool::new(4_000), 4), Out::default());
     core.start(START, &mut out);
     core.agent_link(START);
     core.agent_up(START, None, &mut out);
@@ -990,18 +1061,20 @@
         core.rpc_read(START, place, ask, b"", &mut out);
     }
     let in_hand = core.open();
+    let mut running = content(&settings);
     let mut spans: Vec<u128> = (0..101)
         .map(|n| {
-            settings["FamilyInfo"]["NCores"] = json!(1_500 + n % 2);
-            let fresh = made(&settings);
+            settings["FamilyInfo"]["NCores"] = json!(1_500 + (n + 1) % 2);
+            let to = content(&settings);
             let start = std::time::Instant::now();
-            core.change(START + n * MS, fresh, Vec::new(), n + 2, &mut out).unwrap();
+            change(&mut core, START + n * MS, &running, &to, n + 2, &mut out);
+            running = to;
             start.elapsed().as_nanos()
         })
         .collect();
     spans.sort_unstable();
     let mut service = crate::service::Service::new(0, vec![400 * MS, 400 * MS]);
-    let names = ["look".to_string(), "book".to_string()];
+    let names: [asterrill_entries::Name; 2] = ["look".into(), "book".into()];
     let start = std::time::Instant::now();
     for n in 0..1_000_000_u64 {
         let method = asterrill::MethodId(n as usize % 2);
@@ -1009,7 +1082,8 @@
         service
             .answered(asterrill_engine::Served { method, took: n % 900_000, spoilt: n % 50 == 0 }, n % 3 > 0);
         if n % 20 == 0 {
-            std::hint::black_box(service.take(&names, |_| 5.0)); // 200 a second, ten looks
+            // 200 a second, ten looks
+            std::hint::black_box(service.take(|method| names.get(method.0).cloned(), |_| 5.0));
         }
     }
     let each = start.elapsed().as_nanos() / 1_000_000;
@@ -1034,15 +1108,14 @@
         Returning::new(now, Start { name, settings, cores, memory_mb, moment, terms, kept, seed, lasting })
     }
     fn world(seed: u64, kept: Option<Learned>) -> World {
-        let made = asterrill_settings::server(START, seed, &server(), None).unwrap();
-        let mut core = Core::new(START, made, Pool::new(500), 4);
+        let mut core = Core::new(START, made(START, seed, &server(), None), Pool::new(500), 4);
         let mut out = Out::default();
         core.start(START, &mut out);
         core.come_back(START, start(START, kept), &mut out);
         core.agent_link(START);
         core.agent_up(START, None, &mut out);
         core.greeted(START, false, &mut out);
-        World { core, out, now: START, asks: BTreeMap::new(), read: 0, next: 0, killed: None, version: 1 }
+        World::with(core, out, START, &server())
     }
     fn serve(w: &mut World, rpcs: u64) {
         for _ in 0..rpcs {
--- a/daemon/src/tests/hub.rs
+++ b/daemon/src/tests/hub.rs
@@ -1,6 +1,6 @@
 //! The hub with a sidecar's connection on a real socket.
 
-use super::{server, START};
+use super::{made, server, START};
 use crate::core::Core;
 use crate::hub::Hub;
 use crate::parties::Sidecar;
@@ -20,8 +20,7 @@
 fn who_never_takes_what_it_is_owed_is_cut_off_in_the_end_and_who_does_is_not() {
     one_worker().unwrap();
     let pool = Pool::new(500);
-    let made = asterrill_settings::server(START, 1, &server(), None).unwrap();
-    let core = Core::new(START, made, Pool::new(500), 4);
+    let core = Core::new(START, made(START, 1, &server(), None), Pool::new(500), 4);
     let agent = Outbox::new(&pool, 1 << 16);
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let pools = [pool.clone(), Pool::new(500)];
--- a/net/src/clock.rs
+++ b/net/src/clock.rs
@@ -76,7 +76,7 @@
 /// Lets everyone else go first who is ready or whose socket is. `yield_now` of `may` 0.3.51 does not: its
 /// worker looks at sockets, and takes up what was started or woken, only once nobody yields any more. One
 /// peer that sends as fast as it is read, or a rush of new connections, would hold up all others.
-pub(crate) fn turn() {
+pub fn turn() {
     wait(now());
 }
 
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -12,7 +12,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use clock::{elapsed, now, wait_until, Bell};
+pub use clock::{elapsed, now, turn, wait_until, Bell};
 pub use datagrams::Datagrams;
 pub use link::{hold, Address, Party, Pause};
 pub use listener::{bind, listen, Door, Room};
--- a/recovery/src/learned.rs
+++ b/recovery/src/learned.rs
@@ -8,7 +8,8 @@
 pub const METHODS: usize = 1024;
 /// The accounts heard last are kept.
 pub const ACCOUNTS: usize = 1000;
-const TENANTS: usize = 1024;
+/// Tenants in a snapshot at the most.
+pub const TENANTS: usize = 1024;
 const KIND: &str = "learned";
 const FORMAT: u32 = 1;
 const NAME: usize = 256; // bytes of a name: longer ones are left out
--- a/recovery/src/lib.rs
+++ b/recovery/src/lib.rs
@@ -36,7 +36,7 @@
 mod tests;
 mod weigh;
 
-pub use learned::{age, Kept, Learned, LearnedFault, Moment, ACCOUNTS, METHODS};
+pub use learned::{age, Kept, Learned, LearnedFault, Moment, ACCOUNTS, METHODS, TENANTS};
 pub use opening::{Opening, Seen, Terms};
 pub use sealed::{open, seal, SealFault, MOST};
 pub use spread::{phase, seed, Beat};
