Settings as entries: versions and steps, and the platform's JSON read as a stream

Cause: what a version says is a tree of JSON in settings/, a text in the daemon and a third form in agree/, so that every change, of one quota too, costs the whole.

Change: entries/ holds a version as a frame, methods and tenants by name in persistent maps (imbl), with a digest kept entry by entry, and steps as lines of JSON. settings/ reads the platform's file by visitors straight into entries and shares with the running version what is the same; the drill takes the same path, with places in the order of its lists. A known key that stands twice in one object is refused, where the last one was taken before.

`settings::server` makes a server of a version, `server_of` of JSON as it did: tests/customers.rs calls the latter and is otherwise as it was. daemon/, rollout/ and cli/ still use the old forms and don't build here.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -3,15 +3,14 @@
 
 mod wire;
 
-use asterrill_settings::Server;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
-use wire::Fault;
+use wire::{Fault, Instance};
 
-fn answer(line: &str, instances: &mut BTreeMap<u64, Server>) -> Result<Value, Fault> {
+fn answer(line: &str, instances: &mut BTreeMap<u64, Instance>) -> Result<Value, Fault> {
     let batch: Value = serde_json::from_str(line).map_err(|e| Fault::new(format!("not JSON: {e}")))?;
     let number = wire::integer(&batch, "n")?;
     let now = wire::time(&batch, "TimeMs")?;
@@ -50,7 +49,7 @@
 }
 
 fn serve() -> Result<(), Fault> {
-    let mut instances: BTreeMap<u64, Server> = BTreeMap::new();
+    let mut instances: BTreeMap<u64, Instance> = BTreeMap::new();
     let mut out = io::BufWriter::new(io::stdout().lock());
     for line in io::stdin().lock().lines() {
         let line = line?;
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -1,7 +1,8 @@
 //! The wire's names and forms. They end here: the module knows none of them.
 
-use asterrill::{Answer, Arrival, CallEnd, CallerId, Gauges, MethodId, Outcome, RpcId, RunEnd, Us};
-use asterrill_settings::{flag, maybe, maybe_time, number, part, us, whole, Server};
+use asterrill::{Answer, Arrival, CallEnd, CallerId, Control, Gauges, MethodId, Outcome, RpcId, RunEnd, Us};
+use asterrill_entries::Name;
+use asterrill_settings::{flag, maybe, maybe_time, number, part, us, whole};
 pub use asterrill_settings::{integer, text, time, Fault};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -14,12 +15,22 @@
     RpcId::new(text(v, name)?).ok_or_else(|| Fault::missing(name))
 }
 
+/// One server and the places of the names that the wire gives.
+pub struct Instance {
+    control: Control,
+    methods: BTreeMap<Name, MethodId>,
+    tenants: BTreeMap<Name, usize>,
+}
+
 /// Makes an instance from its first message.
-pub fn start(now: Us, item: &Value) -> Result<Server, Fault> {
-    asterrill_settings::server(now, integer(item, "Nonce64")?, part(item, "Params")?, None)
+pub fn start(now: Us, item: &Value) -> Result<Instance, Fault> {
+    let server = asterrill_settings::server_of(now, integer(item, "Nonce64")?, part(item, "Params")?, None)?;
+    let methods = server.methods.into_iter().enumerate().map(|(i, name)| (name, MethodId(i)));
+    let tenants = server.tenants.into_iter().enumerate().map(|(i, name)| (name, i));
+    Ok(Instance { control: server.control, methods: methods.collect(), tenants: tenants.collect() })
 }
 
-fn arrival(item: &Value, methods: &BTreeMap<String, MethodId>) -> Result<Arrival, Fault> {
+fn arrival(item: &Value, methods: &BTreeMap<Name, MethodId>) -> Result<Arrival, Fault> {
     let name = text(item, "Cls")?;
     let method =
         methods.get(name).ok_or_else(|| Fault::new(format!("Cls {name} is not among the settings")))?;
@@ -43,7 +54,7 @@
 }
 
 /// Decodes one event into a call of the module.
-pub fn feed(now: Us, kind: &str, item: &Value, instance: &mut Server) -> Result<Outcome, Fault> {
+pub fn feed(now: Us, kind: &str, item: &Value, instance: &mut Instance) -> Result<Outcome, Fault> {
     let control = &mut instance.control;
     Ok(match kind {
         "NewInstance" => control.started(),
--- /dev/null
+++ b/entries/src/content.rs
@@ -0,0 +1,374 @@
+//! A version: its frame, methods and tenants, in maps that versions share.
+
+use crate::fault::{Kind, Refused};
+use crate::frame::{time_within, within, Frame};
+use crate::{text, Name, GREATEST, MEMORY, METHODS, NAME, SOCKETS, TENANTS};
+use asterrill::{Effect, Method};
+use imbl::ordmap::{DiffItem, OrdMap};
+use std::cmp::Ordering;
+use std::collections::HashSet;
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_128;
+
+/// What a version says, in 128 bits: the same for the same meaning, whatever the order in which it came about.
+/// It finds mistakes and crossings; it is no guard against somebody who means harm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Digest(u128);
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for Digest {
+    type Err = Refused;
+    /// Of 32 hex digits.
+    fn from_str(text: &str) -> Result<Digest, Refused> {
+        let digits = text.len() == 32 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = u128::from_str_radix(text, 16).ok().filter(|_| digits);
+        number.map(Digest).ok_or(Refused::Field("hash"))
+    }
+}
+
+/// One change of what a version says. A step changes each key once at most, so that their order says nothing.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    Frame(Arc<Frame>),
+    PutMethod(Name, Method),
+    TakeMethod(Name),
+    /// RPCs a second over the whole fleet.
+    PutTenant(Name, f64),
+    TakeTenant(Name),
+}
+
+impl Change {
+    /// What it is about; nothing for the frame.
+    pub fn key(&self) -> Option<(Kind, &Name)> {
+        match self {
+            Change::Frame(_) => None,
+            Change::PutMethod(name, _) | Change::TakeMethod(name) => Some((Kind::Method, name)),
+            Change::PutTenant(name, _) | Change::TakeTenant(name) => Some((Kind::Tenant, name)),
+        }
+    }
+}
+
+/// A version, whole. Cheap to copy: versions share what they have in common.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Content {
+    frame: Arc<Frame>,
+    methods: OrdMap<Name, Method>,
+    tenants: OrdMap<Name, f64>,
+    digest: u128,
+}
+
+/// What one entry adds to a digest.
+fn mark(kind: u8, figures: &[u64], name: &str) -> u128 {
+    let mut bytes = Vec::with_capacity(1 + 8 * figures.len() + name.len());
+    bytes.push(kind);
+    figures.iter().for_each(|figure| bytes.extend_from_slice(&figure.to_le_bytes()));
+    bytes.extend_from_slice(name.as_bytes());
+    xxh3_128(&bytes)
+}
+fn mark_frame(frame: &Frame) -> u128 {
+    mark(0, &[], &text::frame_text(frame))
+}
+fn mark_method(name: &str, m: &Method) -> u128 {
+    let effect = match m.effect {
+        Effect::Idempotent => 0,
+        Effect::Tokened => 1,
+        Effect::NonIdempotent => 2,
+    };
+    let shares = [m.criticality, m.late_share, m.skip_share].map(f64::to_bits);
+    let [criticality, late, skip] = shares;
+    mark(1, &[m.latency_target, m.deadline, effect, criticality, late, m.window, skip], name)
+}
+fn mark_tenant(name: &str, rate: f64) -> u128 {
+    mark(2, &[rate.to_bits()], name)
+}
+
+/// Whether an entry may have this name: text of 1 to [`NAME`] bytes without control characters; a method's is a word,
+/// without blanks, as it stands in lines to the agent.
+///
+/// # Errors
+/// [`Refused::Name`], with the start of what was told.
+pub fn check_name(kind: Kind, name: &str) -> Result<(), Refused> {
+    let word = kind == Kind::Method;
+    let odd = |c: char| c.is_control() || word && c.is_whitespace();
+    if name.is_empty() || name.len() > NAME || name.chars().any(odd) {
+        return Err(Refused::Name { name: name.chars().take(NAME).collect(), word });
+    }
+    Ok(())
+}
+
+/// Whether the figures of a method are within bounds.
+///
+/// # Errors
+/// [`Refused::Bounds`] names the field.
+pub fn check_method(m: &Method) -> Result<(), Refused> {
+    [("AimMs", m.latency_target), ("DeadlineMs", m.deadline), ("WindowMs", m.window)]
+        .into_iter()
+        .try_for_each(|(key, value)| time_within(key, value))?;
+    [("Worth", m.criticality), ("LateWorth", m.late_share), ("SkipWorth", m.skip_share)]
+        .into_iter()
+        .try_for_each(|(key, value)| within(key, value, GREATEST))
+}
+
+/// -0 is 0: the same meaning has one form.
+fn plain(mut m: Method) -> Method {
+    (m.criticality, m.late_share, m.skip_share) =
+        (m.criticality + 0.0, m.late_share + 0.0, m.skip_share + 0.0);
+    m
+}
+
+impl Content {
+    /// Without methods and tenants: what a reader starts from.
+    pub fn new(frame: Frame) -> Content {
+        let digest = mark_frame(&frame);
+        Content { frame: Arc::new(frame), methods: OrdMap::new(), tenants: OrdMap::new(), digest }
+    }
+
+    pub fn frame(&self) -> &Arc<Frame> {
+        &self.frame
+    }
+    pub fn method(&self, name: &str) -> Option<&Method> {
+        self.methods.get(name)
+    }
+    /// RPCs a second over the whole fleet.
+    pub fn tenant(&self, name: &str) -> Option<f64> {
+        self.tenants.get(name).copied()
+    }
+    /// In the order of their names.
+    pub fn methods(&self) -> impl Iterator<Item = (&Name, &Method)> {
+        self.methods.iter()
+    }
+    /// In the order of their names.
+    pub fn tenants(&self) -> impl Iterator<Item = (&Name, f64)> {
+        self.tenants.iter().map(|(name, rate)| (name, *rate))
+    }
+    /// How many there are.
+    pub fn count(&self, kind: Kind) -> usize {
+        match kind {
+            Kind::Method => self.methods.len(),
+            Kind::Tenant => self.tenants.len(),
+        }
+    }
+    /// The name as it is held here, to be shared.
+    pub fn name(&self, kind: Kind, name: &str) -> Option<&Name> {
+        match kind {
+            Kind::Method => self.methods.get_key_value(name).map(|(name, _)| name),
+            Kind::Tenant => self.tenants.get_key_value(name).map(|(name, _)| name),
+        }
+    }
+    /// The name as it is held here where it is, or a new one.
+    pub fn shared(&self, kind: Kind, name: &str) -> Name {
+        self.name(kind, name).cloned().unwrap_or_else(|| name.into())
+    }
+    pub fn digest(&self) -> Digest {
+        Digest(self.digest)
+    }
+
+    fn put_frame(&mut self, frame: &Arc<Frame>) {
+        if self.frame != *frame {
+            self.digest = self.digest.wrapping_sub(mark_frame(&self.frame)).wrapping_add(mark_frame(frame));
+            self.frame = frame.clone();
+        }
+    }
+    fn put_method(&mut self, name: &Name, method: Method) {
+        let (name, method) = (self.name(Kind::Method, name).unwrap_or(name).clone(), plain(method));
+        self.digest = self.digest.wrapping_add(mark_method(&name, &method));
+        if let Some(before) = self.methods.insert(name.clone(), method) {
+            self.digest = self.digest.wrapping_sub(mark_method(&name, &before));
+        }
+    }
+    fn put_tenant(&mut self, name: &Name, rate: f64) {
+        let (name, rate) = (self.name(Kind::Tenant, name).unwrap_or(name).clone(), rate + 0.0);
+        self.digest = self.digest.wrapping_add(mark_tenant(&name, rate));
+        if let Some(before) = self.tenants.insert(name.clone(), rate) {
+            self.digest = self.digest.wrapping_sub(mark_tenant(&name, before));
+        }
+    }
+    fn take(&mut self, kind: Kind, name: &Name) -> Result<(), Refused> {
+        let mark = match kind {
+            Kind::Method => self.methods.remove(&**name).map(|before| mark_method(name, &before)),
+            Kind::Tenant => self.tenants.remove(&**name).map(|before| mark_tenant(name, before)),
+        };
+        let mark = mark.ok_or_else(|| Refused::Unknown { kind, name: name.clone() })?;
+        self.digest = self.digest.wrapping_sub(mark);
+        Ok(())
+    }
+
+    /// One change, checked, in place. Where it is refused, nothing is changed.
+    pub(crate) fn change(&mut self, change: &Change) -> Result<(), Refused> {
+        match change {
+            Change::Frame(frame) => {
+                frame.check()?;
+                for (key, before, now) in [
+                    (MEMORY, self.frame.memory_mb, frame.memory_mb),
+                    (SOCKETS, self.frame.sockets, frame.sockets),
+                ] {
+                    // What was granted once is never left open again.
+                    if before > 0 && now == 0 {
+                        return Err(Refused::Field(key));
+                    }
+                }
+                self.put_frame(frame);
+            }
+            Change::PutMethod(name, method) => {
+                check_name(Kind::Method, name)?;
+                check_method(method).map_err(|why| why.of(Kind::Method, name))?;
+                if self.methods.len() >= METHODS && !self.methods.contains_key(&**name) {
+                    return Err(Refused::full(Kind::Method));
+                }
+                self.put_method(name, method.clone());
+            }
+            Change::PutTenant(name, rate) => {
+                check_name(Kind::Tenant, name)?;
+                within("QuotaRps", *rate, GREATEST).map_err(|why| why.of(Kind::Tenant, name))?;
+                if self.tenants.len() >= TENANTS && !self.tenants.contains_key(&**name) {
+                    return Err(Refused::full(Kind::Tenant));
+                }
+                self.put_tenant(name, *rate);
+            }
+            Change::TakeMethod(name) => self.take(Kind::Method, name)?,
+            Change::TakeTenant(name) => self.take(Kind::Tenant, name)?,
+        }
+        Ok(())
+    }
+
+    /// Takes first: the room that they make is there for what is put.
+    fn change_all(&mut self, changes: &[Change]) -> Result<(), Refused> {
+        let takes = |change: &&Change| matches!(change, Change::TakeMethod(_) | Change::TakeTenant(_));
+        changes.iter().filter(takes).try_for_each(|change| self.change(change))?;
+        changes.iter().filter(|change| !takes(change)).try_for_each(|change| self.change(change))
+    }
+
+    /// The version that changes lead to: whole or not at all.
+    ///
+    /// # Errors
+    /// [`Refused`] names the key at fault: one that stands twice, one to be taken that is not there, a name, a figure or
+    /// a number of entries out of bounds. A version with methods keeps one.
+    pub fn apply(&self, changes: &[Change]) -> Result<Content, Refused> {
+        once(changes)?;
+        let mut next = self.clone();
+        next.change_all(changes)?;
+        if next.methods.is_empty() && !self.methods.is_empty() {
+            return Err(Refused::Last);
+        }
+        Ok(next)
+    }
+
+    /// What leads from this version to `other`: the frame, then methods, then tenants, by name. Costs what differs: parts
+    /// that the two share are not looked into.
+    pub fn changes_to(&self, other: &Content) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if !Arc::ptr_eq(&self.frame, &other.frame) && self.frame != other.frame {
+            changes.push(Change::Frame(other.frame.clone()));
+        }
+        changes.extend(self.methods.diff(&other.methods).map(|item| match item {
+            DiffItem::Add(name, method) | DiffItem::Update { new: (name, method), .. } => {
+                Change::PutMethod(name.clone(), method.clone())
+            }
+            DiffItem::Remove(name, _) => Change::TakeMethod(name.clone()),
+        }));
+        changes.extend(self.tenants.diff(&other.tenants).map(|item| match item {
+            DiffItem::Add(name, rate) | DiffItem::Update { new: (name, rate), .. } => {
+                Change::PutTenant(name.clone(), *rate)
+            }
+            DiffItem::Remove(name, _) => Change::TakeTenant(name.clone()),
+        }));
+        changes
+    }
+
+    /// The version that says just this, in whatever order it was told; what is the same in `running` is shared with it.
+    ///
+    /// # Errors
+    /// [`Refused`], as [`Content::apply`]; and where there is no method.
+    pub fn whole(
+        running: Option<&Content>, frame: Frame, mut methods: Vec<(Name, Method)>,
+        mut tenants: Vec<(Name, f64)>,
+    ) -> Result<Content, Refused> {
+        if methods.is_empty() {
+            return Err(Refused::Field("Categories"));
+        }
+        if methods.len() > METHODS {
+            return Err(Refused::full(Kind::Method));
+        }
+        if tenants.len() > TENANTS {
+            return Err(Refused::full(Kind::Tenant));
+        }
+        frame.check()?;
+        methods.sort_by(|(a, _), (b, _)| by_name(a, b));
+        tenants.sort_by(|(a, _), (b, _)| by_name(a, b));
+        distinct(Kind::Method, &methods)?;
+        distinct(Kind::Tenant, &tenants)?;
+        let mut changes = Vec::new();
+        let Some(running) = running else {
+            let mut next = Content::new(frame);
+            changes.extend(methods.into_iter().map(|(name, method)| Change::PutMethod(name, method)));
+            changes.extend(tenants.into_iter().map(|(name, rate)| Change::PutTenant(name, rate)));
+            changes.iter().try_for_each(|change| next.change(change))?;
+            return Ok(next);
+        };
+        compare(running.methods.iter(), methods, Change::PutMethod, Change::TakeMethod, &mut changes);
+        compare(running.tenants.iter(), tenants, Change::PutTenant, Change::TakeTenant, &mut changes);
+        let mut next = running.clone();
+        next.put_frame(&Arc::new(frame));
+        next.change_all(&changes)?;
+        Ok(next)
+    }
+}
+
+/// Names that are one need no look at their bytes.
+fn by_name(a: &Name, b: &Name) -> Ordering {
+    if Arc::ptr_eq(a, b) {
+        Ordering::Equal
+    } else {
+        a.cmp(b)
+    }
+}
+
+/// No two of one name, in order.
+fn distinct<V>(kind: Kind, entries: &[(Name, V)]) -> Result<(), Refused> {
+    let mut pairs = entries.iter().zip(entries.iter().skip(1));
+    match pairs.find(|((a, _), (b, _))| by_name(a, b) == Ordering::Equal) {
+        Some(((name, _), _)) => Err(Refused::Twice { kind, name: name.clone() }),
+        None => Ok(()),
+    }
+}
+
+/// Each key once at most: known without a set where the changes come in order, as from [`Content::changes_to`].
+fn once(changes: &[Change]) -> Result<(), Refused> {
+    let mut pairs = changes.iter().zip(changes.iter().skip(1));
+    if pairs.all(|(a, b)| a.key() < b.key()) {
+        return Ok(());
+    }
+    let mut known = HashSet::with_capacity(changes.len());
+    match changes.iter().find(|change| !known.insert(change.key())) {
+        Some(twice) => Err(twice.key().map_or_else(
+            || Refused::Again("frame".into()),
+            |(kind, name)| Refused::Twice { kind, name: name.clone() },
+        )),
+        None => Ok(()),
+    }
+}
+
+/// What leads from entries to others, both in the order of their names.
+fn compare<'a, V: PartialEq + 'a>(
+    running: impl Iterator<Item = (&'a Name, &'a V)>, told: Vec<(Name, V)>, put: fn(Name, V) -> Change,
+    take: fn(Name) -> Change, changes: &mut Vec<Change>,
+) {
+    let mut running = running.peekable();
+    for (name, value) in told {
+        while let Some((gone, _)) = running.next_if(|(known, _)| by_name(known, &name).is_lt()) {
+            changes.push(take(gone.clone()));
+        }
+        match running.next_if(|(known, _)| by_name(known, &name).is_eq()) {
+            Some((_, before)) if *before == value => {}
+            _ => changes.push(put(name, value)),
+        }
+    }
+    changes.extend(running.map(|(gone, _)| take(gone.clone())));
+}
--- /dev/null
+++ b/entries/src/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the package.
--- a/settings/src/deployment.rs
+++ b/settings/src/deployment.rs
@@ -1,9 +1,16 @@
 //! What a backend is told at its start.
 
-use crate::{integer, maybe, part, text, time, Fault};
-use serde_json::Value;
+use crate::lists::{fault, Lists, Told};
+use crate::Fault;
+use asterrill_entries::fields::{walk, Any, Fields, Form, Reading, Scalar};
+use asterrill_entries::{Content, MEMORY, SOCKETS};
+use serde::de::{DeserializeSeed, Error, MapAccess};
+use std::io::{self, BufReader, Read};
 use std::net::SocketAddr;
 
+/// Bytes of a file at the most: three times what the bounds of its lists need with names of a usual length.
+pub const FILE: u64 = 16 * 1024 * 1024;
+
 /// The place of this backend among the others.
 #[derive(Clone, Debug)]
 pub struct Deployment {
@@ -16,47 +23,114 @@
     pub seed: u64,
     /// From the notice to leave to the kill.
     pub stop: asterrill::Us,
+    /// As `content.frame()` has it.
     pub memory_mb: u64,
+    /// As `content.frame()` has it.
     pub sockets: u64,
-    /// The settings of the decision module.
-    pub server: Value,
+    /// The settings of the decision module, and what the deployment grants.
+    pub content: Content,
+}
+
+const OWN: &[&str] =
+    &["name", "listen", "agent", "naming", "records", "seed", "stop_ms", "limits", "settings"];
+const SCALARS: &[&str] = &["name", "listen", "agent", "naming", "records", "seed", "stop_ms"];
+
+struct File<'r> {
+    own: Fields,
+    lists: Lists<'r>,
+    limits: bool,
+    settings: bool,
+}
+
+impl Form for &mut File<'_> {
+    type Made = bool;
+    fn scalar<E: Error>(self, _: Scalar) -> Result<bool, E> {
+        Ok(false)
+    }
+    fn object<'d, A: MapAccess<'d>>(self, object: A) -> Result<bool, A::Error> {
+        walk(object, OWN, Reading::File, |place, object| match OWN.get(place) {
+            Some(&"limits") => {
+                self.limits = self.lists.frame.read_machine(object)?;
+                Ok(())
+            }
+            Some(&"settings") => {
+                self.settings = object.next_value_seed(Any(&mut self.lists))?;
+                Ok(())
+            }
+            _ => self.own.read(place, object),
+        })?;
+        Ok(true)
+    }
 }
 
-/// Reads the configuration, a JSON object. The message of a fault names what is wrong.
+/// Reads the configuration, a JSON object.
+///
+/// # Errors
+/// As [`read_from`].
 pub fn read(json: &str) -> Result<Deployment, Fault> {
-    let v: Value = serde_json::from_str(json).map_err(|e| Fault::new(format!("not JSON: {e}")))?;
-    let limits = part(&v, "limits")?;
-    let deployment = Deployment {
-        name: text(&v, "name")?.to_string(),
-        listen: address(&v, "listen")?,
-        agent: address(&v, "agent")?,
-        naming: address(&v, "naming")?,
-        records: match v.get("records") {
-            None | Some(Value::Null) => None,
-            Some(_) => Some(address(&v, "records")?),
-        },
-        seed: u64::from_str_radix(text(&v, "seed")?, 16).map_err(|_| Fault::missing("seed"))?,
-        stop: time(&v, "stop_ms")?,
-        memory_mb: limit(maybe(limits, "memory_mb")?, "limits.memory_mb")?,
-        sockets: limit(integer(limits, "sockets").ok().map(|n| n as f64), "limits.sockets")?,
-        server: part(&v, "settings")?.clone(),
-    };
-    // What the module can't be made of is found before anything starts.
-    crate::server(0, 0, &deployment.server, None)?;
-    Ok(deployment)
-}
-
-/// A terabyte, or a million descriptors, at the most; none is no limit to run under.
-const GREATEST: f64 = 1_048_576.0;
-
-fn limit(told: Option<f64>, name: &str) -> Result<u64, Fault> {
-    let told = told.ok_or_else(|| Fault::missing(name))?;
-    if !(1.0..=GREATEST).contains(&told) {
-        return Err(Fault::new(format!("field {name} is out of bounds: {told}")));
+    if json.len() as u64 > FILE {
+        return Err(Fault::new(too_long()));
+    }
+    deployment(&mut serde_json::Deserializer::from_str(json), None)
+}
+
+/// Reads the configuration, a JSON object, as it comes: neither its text nor a tree of it is kept. What is the same in
+/// `running` is shared with it, so that a file which changes one quota costs one entry of new memory.
+///
+/// Keys may come in any order; those not known are passed over, and one that is known and stands twice is refused.
+///
+/// # Errors
+/// The message names what is wrong: the reader's own error, more than [`FILE`] bytes, no JSON, or the key at fault.
+pub fn read_from(reader: impl Read, running: Option<&Content>) -> Result<Deployment, Fault> {
+    let bounded = BufReader::with_capacity(16 * 1024, Bounded { reader, left: FILE });
+    deployment(&mut serde_json::Deserializer::from_reader(bounded), running)
+}
+
+fn deployment<'d, R: serde_json::de::Read<'d>>(
+    from: &mut serde_json::Deserializer<R>, running: Option<&Content>,
+) -> Result<Deployment, Fault> {
+    let own = Fields::new(SCALARS, Reading::File);
+    let mut file = File { own, lists: Lists::new(running), limits: false, settings: false };
+    Any(&mut file).deserialize(&mut *from).map_err(fault)?;
+    from.end().map_err(fault)?;
+    let File { own, lists, limits, settings } = file;
+    let address = |name| own.text(name)?.parse().map_err(|_| Fault::missing(name));
+    if !limits {
+        return Err(Fault::missing("limits"));
+    }
+    let (name, listen, agent, naming) =
+        (own.text("name")?.to_string(), address("listen")?, address("agent")?, address("naming")?);
+    let records = if own.told("records").is_some() { Some(address("records")?) } else { None };
+    let seed = u64::from_str_radix(own.text("seed")?, 16).map_err(|_| Fault::missing("seed"))?;
+    let stop = own.time("stop_ms")?;
+    if !settings {
+        return Err(Fault::missing("settings"));
+    }
+    let Told { frame, methods, tenants } = lists.told()?;
+    let (memory_mb, sockets) = (frame.memory_mb, frame.sockets);
+    for (granted, key) in [(memory_mb, MEMORY), (sockets, SOCKETS)] {
+        if granted == 0 {
+            return Err(Fault::missing(key));
+        }
     }
-    Ok(told as u64)
+    let content = Content::whole(running, frame, methods, tenants)?;
+    Ok(Deployment { name, listen, agent, naming, records, seed, stop, memory_mb, sockets, content })
 }
 
-fn address(v: &Value, name: &str) -> Result<SocketAddr, Fault> {
-    text(v, name)?.parse().map_err(|_| Fault::missing(name))
+fn too_long() -> String {
+    format!("the file has more than {FILE} bytes, the bound FILE")
+}
+
+/// Fails as soon as there is more than is left.
+struct Bounded<R> {
+    reader: R,
+    left: u64,
+}
+
+impl<R: Read> Read for Bounded<R> {
+    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        let n = self.reader.read(to)?;
+        self.left = self.left.checked_sub(n as u64).ok_or_else(|| io::Error::other(too_long()))?;
+        Ok(n)
+    }
 }
--- /dev/null
+++ b/settings/src/lists.rs
@@ -0,0 +1,120 @@
+//! The platform's settings, read as a stream into entries: no tree of the whole is made, and no copy of its text.
+
+use crate::Fault;
+use asterrill_entries::fields::{
+    walk, Any, Fields, Form, FrameFields, Reading, Scalar, METHOD, SETTINGS, TENANT,
+};
+use asterrill_entries::{Content, Frame, Kind, Method, Name, Refused, METHODS, TENANTS};
+use serde::de::{Error, MapAccess, SeqAccess};
+
+/// What settings say, with methods and tenants in the order of the file.
+pub(crate) struct Lists<'r> {
+    /// Whose names are shared.
+    running: Option<&'r Content>,
+    pub frame: FrameFields,
+    methods: Vec<(Name, Method)>,
+    tenants: Vec<(Name, f64)>,
+    /// There was a list of methods.
+    listed: bool,
+}
+
+/// What was read, made out.
+pub(crate) struct Told {
+    pub frame: Frame,
+    pub methods: Vec<(Name, Method)>,
+    pub tenants: Vec<(Name, f64)>,
+}
+
+impl<'r> Lists<'r> {
+    pub fn new(running: Option<&'r Content>) -> Lists<'r> {
+        let frame = FrameFields::new(Reading::File);
+        Lists { running, frame, methods: Vec::new(), tenants: Vec::new(), listed: false }
+    }
+
+    fn name(&self, kind: Kind, name: &str) -> Name {
+        self.running.map_or_else(|| name.into(), |running| running.shared(kind, name))
+    }
+
+    /// What was read, or the key at fault.
+    pub fn told(mut self) -> Result<Told, Fault> {
+        let frame = self.frame.frame(None)?;
+        if !self.listed || self.methods.is_empty() {
+            return Err(Fault::missing("Categories"));
+        }
+        let shares = self.frame.skips.iter().copied().chain(std::iter::repeat(0.0));
+        self.methods.iter_mut().zip(shares).for_each(|((_, method), share)| method.skip_share = share);
+        Ok(Told { frame, methods: self.methods, tenants: self.tenants })
+    }
+}
+
+/// Reads an object of settings; hands back whether it was one.
+impl Form for &mut Lists<'_> {
+    type Made = bool;
+    fn scalar<E: Error>(self, _: Scalar) -> Result<bool, E> {
+        Ok(false)
+    }
+    fn object<'d, A: MapAccess<'d>>(self, object: A) -> Result<bool, A::Error> {
+        walk(object, SETTINGS, Reading::File, |place, object| match SETTINGS.get(place) {
+            Some(&"Categories") => {
+                self.listed = object.next_value_seed(Any(Entries { of: Kind::Method, to: self }))?;
+                Ok(())
+            }
+            Some(&"Tenants") => object.next_value_seed(Any(Entries { of: Kind::Tenant, to: self })).map(drop),
+            _ => self.frame.read(place, object),
+        })?;
+        Ok(true)
+    }
+}
+
+/// A list of methods or tenants; hands back whether it was one.
+struct Entries<'l, 'r> {
+    of: Kind,
+    to: &'l mut Lists<'r>,
+}
+
+impl Form for Entries<'_, '_> {
+    type Made = bool;
+    fn scalar<E: Error>(self, _: Scalar) -> Result<bool, E> {
+        Ok(false)
+    }
+    fn list<'d, A: SeqAccess<'d>>(self, mut list: A) -> Result<bool, A::Error> {
+        let (kind, lists) = (self.of, self.to);
+        // A file has no SkipWorth of a method: it lists them in FamilyInfo.
+        let method = METHOD.split_last().map_or(METHOD, |(_, before)| before);
+        let mut fields = Fields::new(if kind == Kind::Method { method } else { TENANT }, Reading::File);
+        while list.next_element_seed(Any(&mut fields))?.is_some() {
+            lists.take(kind, &fields).map_err(A::Error::custom)?;
+        }
+        Ok(true)
+    }
+}
+
+impl Lists<'_> {
+    /// One more entry: too many are found as they come, before they take room.
+    fn take(&mut self, kind: Kind, fields: &Fields) -> Result<(), Refused> {
+        let name = self.name(kind, fields.name(kind)?);
+        let of = |why: Refused| why.of(kind, &name);
+        match kind {
+            Kind::Method if self.methods.len() >= METHODS => return Err(Refused::full(kind)),
+            Kind::Tenant if self.tenants.len() >= TENANTS => return Err(Refused::full(kind)),
+            Kind::Method => {
+                let method = fields.method(0.0).map_err(of)?;
+                self.methods.push((name, method));
+            }
+            Kind::Tenant => {
+                let rate = fields.quota().map_err(of)?;
+                self.tenants.push((name, rate));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A fault of the reading, told apart: what was read is no JSON, or it is and says what can't be.
+pub(crate) fn fault(e: serde_json::Error) -> Fault {
+    if e.is_syntax() || e.is_eof() {
+        Fault::new(format!("not JSON: {e}"))
+    } else {
+        Fault::new(e.to_string())
+    }
+}
--- a/settings/tests/customers.rs
+++ b/settings/tests/customers.rs
@@ -37,7 +37,8 @@
 
 /// Plays a few RPCs through a server, with all that may come of them.
 fn play(settings: &Value) -> Result<(), String> {
-    let mut server = asterrill_settings::server(NOW, 7, settings, None).map_err(|fault| fault.to_string())?;
+    let mut server =
+        asterrill_settings::server_of(NOW, 7, settings, None).map_err(|fault| fault.to_string())?;
     let control = &mut server.control;
     let fine = |out: &Outcome| {
         assert!(out.credit.is_none_or(|credit| credit.is_finite() && credit >= 0.0), "{out:?}")
--- a/src/types.rs
+++ b/src/types.rs
@@ -98,7 +98,7 @@
 }
 
 /// One method as the operators describe it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Method {
     /// An answer within this time of the client's first try earns everything.
     pub latency_target: Us,
