--- a/daemon/src/returning.rs
+++ b/daemon/src/returning.rs
@@ -179,10 +179,11 @@
 }
 
 /// Keeps the first by name, in their order; linear in all, so that a few of many cost no sorting of all.
-fn first<T, N: Ord>(all: &mut Vec<T>, most: usize, name: impl Fn(&T) -> N) {
+fn first<T>(all: &mut Vec<T>, most: usize, name: impl Fn(&T) -> &Name) {
+    let order = |a: &T, b: &T| name(a).cmp(name(b));
     if all.len() > most {
-        all.select_nth_unstable_by_key(most, &name);
+        all.select_nth_unstable_by(most, order);
         all.truncate(most);
     }
-    all.sort_unstable_by_key(name);
+    all.sort_unstable_by(order);
 }
