Changes by entries: checked, watched and kept at the cost of what differs

A version had a text of its own, checks and watch had a second form of its figures, and records were whole texts. `Version` has no text: its hash comes from the content's owner. Records are one file: a whole version in entries, then sealed steps.

--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -1,13 +1,15 @@
 //! What lasts, on disk: versions of the configuration, and what was learned. Written by one thread of its own, whole or
-//! not at all, the newest wish first; versions before anything else.
+//! not at all, the newest wish first; versions before anything else. Of versions what differs from what stands there is
+//! appended as steps; a whole version is written at the first wish, after a failure, and when the steps have outgrown it.
 
 use asterrill_agree::Write as Bytes;
 use asterrill_membership::Kept;
 use asterrill_recovery::{Learned, MOST};
-use asterrill_rollout::{recover, Recovered};
+use asterrill_rollout::{recover, write_whole, Standing, State};
 use slog::{warn, Logger};
+use std::fmt;
 use std::fs::File;
-use std::io::{self, Read, Write};
+use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -15,22 +17,16 @@
 const MEMBERS: &str = "members"; // the file of who was there
 const AGREED: &str = "agreed"; // the file of a keeper
 const FORMAT: u32 = 1; // of it
+const VERSIONS: &str = "versions"; // the file of versions
 const LEARNED: &str = "learned"; // the file of what was learned
 
-/// What is to stand on disk: the last good version, and the one on probation.
-#[derive(Clone, Debug, PartialEq)]
-struct Records {
-    good: String,
-    probation: Option<String>,
-}
-
 /// Told the number of a write that stands on disk.
 pub type Stands = dyn Fn(u64) + Send + Sync;
 
 /// What is to be written next.
 #[derive(Default)]
 struct Wanted {
-    records: Option<Records>,
+    versions: Option<State>,
     learned: Option<Learned>,
     members: Option<String>,
     /// What a keeper has to have on disk, in this order, and who is told once it stands there.
@@ -49,13 +45,6 @@
 #[derive(Clone)]
 pub struct Store(Arc<Desk>);
 
-/// What a start finds: the last good version, and what was on probation when the process ended.
-#[derive(Debug, Default)]
-pub struct Found {
-    pub good: Option<Recovered>,
-    pub probation: Option<Recovered>,
-}
-
 /// Reads what an earlier process had learned. What can't be used is told, and is as if it were not there.
 pub fn find_learned(dir: &Path, log: &Logger) -> Option<Learned> {
     let path = dir.join(LEARNED);
@@ -95,27 +84,31 @@
     read.ok()
 }
 
-/// Reads what an earlier process has left. What can't be used is told, and is as if it were not there.
-pub fn find(dir: &Path, log: &Logger) -> Found {
-    let read = |name: &str| {
-        let path = dir.join(name);
-        let text = match std::fs::read_to_string(&path) {
-            Ok(text) => text,
-            Err(e) if e.kind() == io::ErrorKind::NotFound => return None,
-            Err(e) => {
-                warn!(log, "a state file can't be read"; "path" => %path.display(), "why" => %e);
-                return None;
+/// Reads which versions an earlier process has left. What can't be used is told, and is as if it were not there.
+pub fn find(dir: &Path, log: &Logger) -> Option<State> {
+    let path = dir.join(VERSIONS);
+    let read = match File::open(&path) {
+        Ok(file) => recover(BufReader::new(file)).map_err(|fault| fault.to_string()),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return None,
+        Err(e) => Err(e.to_string()),
+    };
+    match read {
+        Ok(found) => {
+            if found.torn > 0 {
+                warn!(log, "the last step of the state was not written whole and is left out";
+                    "path" => %path.display(), "bytes" => found.torn);
             }
-        };
-        match recover(&text) {
-            Ok(found) => Some(found),
-            Err(fault) => {
-                warn!(log, "a state file is not used"; "path" => %path.display(), "why" => %fault);
-                None
+            if let Some(damage) = &found.damaged {
+                warn!(log, "the state is damaged: what stands before that is used";
+                    "path" => %path.display(), "why" => %damage, "version" => found.state.good.number);
             }
+            Some(found.state)
         }
-    };
-    Found { good: read("good"), probation: read("probation") }
+        Err(why) => {
+            warn!(log, "a state file is not used"; "path" => %path.display(), "why" => why);
+            None
+        }
+    }
 }
 
 impl Store {
@@ -126,9 +119,11 @@
         std::thread::Builder::new().name("store".into()).spawn(move || write_all(&kept, &dir, &log))?;
         Ok(Store(desk))
     }
-    /// From now on this is to stand on disk. Of several wishes the last counts.
-    pub fn keep(&self, good: String, probation: Option<String>) {
-        self.0.wanted().records = Some(Records { good, probation });
+    /// From now on this is to stand on disk. Of several wishes the last counts: what is appended leads to it from what
+    /// stands there, so at most one waits, nothing is left out and nothing is written twice. Costs the caller nothing that
+    /// grows with the version.
+    pub fn keep(&self, state: State) {
+        self.0.wanted().versions = Some(state);
         self.0.news.notify_one();
     }
     /// The same for what was learned.
@@ -163,28 +158,29 @@
 
 fn write_all(desk: &Desk, dir: &Path, log: &Logger) {
     let mut broken = false;
+    let mut stands = None;
     let mut told = 0_u64; // a directory that stays full or read-only is told of at its first, second, fourth failure
     loop {
         let mut wanted = desk.wanted();
-        while wanted.records.is_none()
+        while wanted.versions.is_none()
             && wanted.learned.is_none()
             && wanted.members.is_none()
             && wanted.agreed.is_empty()
         {
             wanted = desk.news.wait(wanted).unwrap_or_else(|e| e.into_inner());
         }
-        let (records, learned) = (wanted.records.take(), wanted.learned.take());
+        let (versions, learned) = (wanted.versions.take(), wanted.learned.take());
         let members = wanted.members.take();
-        let (agreed, stands) = (std::mem::take(&mut wanted.agreed), wanted.stands.clone());
+        let (agreed, told_of) = (std::mem::take(&mut wanted.agreed), wanted.stands.clone());
         drop(wanted);
-        let versions = records.map_or(Ok(()), |records| write(dir, &records));
+        let versions = versions.map_or(Ok(()), |state| keep_versions(dir, &mut stands, state));
         let learned = learned.map_or(Ok(()), |learned| put(dir, &dir.join(LEARNED), &learned.write()));
         let members = members.map_or(Ok(()), |text| {
             let sealed = asterrill_recovery::seal(MEMBERS, FORMAT, &text);
             put(dir, &dir.join(MEMBERS), &sealed)
         });
         // After a failure nothing more is said to stand: what is there may end in the middle. A restart reads it anew.
-        let agreed = if broken { Ok(()) } else { keep(dir, &agreed, stands.as_deref()) };
+        let agreed = if broken { Ok(()) } else { keep(dir, &agreed, told_of.as_deref()) };
         broken |= agreed.is_err();
         for fault in [versions, learned, members, agreed].into_iter().filter_map(Result::err) {
             let failed = desk.failed.fetch_add(1, Ordering::Relaxed) + 1;
@@ -197,25 +193,46 @@
     }
 }
 
-/// Before a change the record of what goes on probation comes first; at its end the good one does. So whatever a
-/// crash leaves, a version on probation is known as such, or is good.
-fn write(dir: &Path, records: &Records) -> io::Result<()> {
-    let place = |name: &str| dir.join(name);
-    match &records.probation {
-        Some(probation) => {
-            put(dir, &place("probation"), probation)?;
-            put(dir, &place("good"), &records.good)
-        }
-        None => {
-            put(dir, &place("good"), &records.good)?;
-            match std::fs::remove_file(place("probation")) {
-                Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
-                _ => File::open(dir)?.sync_all(),
-            }
+/// Writes what leads from what stands there to what is to. After a failure it is not known what stands there, so the
+/// next time a whole version takes its place: steps never follow a hole.
+fn keep_versions(dir: &Path, standing: &mut Option<Standing>, state: State) -> io::Result<()> {
+    let path = dir.join(VERSIONS);
+    let steps = standing.as_ref().and_then(|standing| standing.steps_to(&state));
+    if let Some((old, steps)) = standing.take().zip(steps) {
+        if !steps.is_empty() {
+            // Not made where it is missing: steps are nothing without the version before them.
+            write_text(File::options().append(true).open(&path)?, |to| steps.write(to))?;
         }
+        *standing = Some(old.with(state, &steps));
+        return Ok(());
+    }
+    *standing = Some(put_text(dir, &path, |to| write_whole(&state, to))?);
+    Ok(())
+}
+
+/// Text that goes to a file in pieces; the fault that stopped it is kept.
+struct Pieces {
+    to: BufWriter<File>,
+    fault: io::Result<()>,
+}
+
+impl fmt::Write for Pieces {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        self.fault = self.to.write_all(text.as_bytes());
+        self.fault.as_ref().map_err(|_| fmt::Error).copied()
     }
 }
 
+/// Writes and syncs.
+fn write_text<T>(file: File, write: impl FnOnce(&mut dyn fmt::Write) -> Result<T, fmt::Error>) -> io::Result<T> {
+    let mut pieces = Pieces { to: BufWriter::new(file), fault: Ok(()) };
+    let done = write(&mut pieces);
+    pieces.fault?;
+    let done = done.map_err(|_| io::Error::other("it could not be put in words"))?;
+    pieces.to.into_inner().map_err(|e| e.into_error())?.sync_all()?;
+    Ok(done)
+}
+
 /// The file of a keeper: appended to, or made anew; one sync for all that came together.
 fn keep(dir: &Path, writes: &[Bytes], stands: Option<&Stands>) -> io::Result<()> {
     let Some(last) = writes.last() else { return Ok(()) };
@@ -262,6 +279,16 @@
     std::fs::rename(&beside, path)?;
     File::open(dir)?.sync_all()
 }
+/// The same for what is too long to be held as a whole.
+fn put_text<T>(
+    dir: &Path, path: &Path, write: impl FnOnce(&mut dyn fmt::Write) -> Result<T, fmt::Error>,
+) -> io::Result<T> {
+    let beside = path.with_extension("new");
+    let done = write_text(File::create(&beside)?, write)?;
+    std::fs::rename(&beside, path)?;
+    File::open(dir)?.sync_all()?;
+    Ok(done)
+}
 
 #[cfg(test)]
 #[path = "tests/store.rs"]
--- a/rollout/src/transaction.rs
+++ b/rollout/src/transaction.rs
@@ -1,25 +1,29 @@
 //! Stage, apply, settle, undo: who may do what when.
 
-use crate::Us;
+use crate::{Us, UNDONE};
 use std::collections::VecDeque;
-use xxhash_rust::xxh3::xxh3_128;
+use std::sync::Arc;
 
 const HISTORY: usize = 64; // events that are kept
-const UNDONE: usize = 64; // hashes of changes that were undone
 
-/// One version of the configuration.
+/// One version of the configuration. Cheap to copy if its content is.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Version<T> {
     /// From 1 up.
     pub number: u64,
-    /// Of its text, 32 hex digits.
-    pub hash: String,
+    /// Of its content, as the content's owner tells it: the same for the same meaning.
+    pub hash: Hash,
     /// The version that it was made from.
     pub base: u64,
-    pub text: String,
     pub content: T,
 }
 
+/// Names a content by its meaning; what it is made of is the business of the content's owner (see [`crate::hash`]).
+pub type Hash = Arc<str>;
+
+/// A hash and the number that the version with it had.
+pub type Marked = (Hash, u64);
+
 /// What an operator wants besides the change itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Wish {
@@ -33,7 +37,7 @@
 #[derive(Clone, Debug)]
 pub struct Change<T> {
     pub content: T,
-    pub text: String,
+    pub hash: Hash,
     /// The version that it was made from; none where that is not known, as on a signal.
     pub base: Option<u64>,
     pub wish: Wish,
@@ -69,7 +73,7 @@
     /// `staged`, `dropped`, `applied`, `settled`, `undone`.
     pub what: &'static str,
     pub version: u64,
-    pub hash: String,
+    pub hash: Hash,
     pub base: u64,
     pub why: String,
 }
@@ -90,27 +94,22 @@
     staged: Option<Version<T>>,
     queued: Option<Version<T>>,
     next: u64,
-    undone: VecDeque<(String, u64)>,
+    undone: VecDeque<Marked>,
     history: VecDeque<Event>,
     news: VecDeque<Event>,
     leaving: bool,
 }
 
-/// The hash of a version's text, 32 hex digits.
-pub fn hash(text: &str) -> String {
-    format!("{:032x}", xxh3_128(text.as_bytes()))
-}
-
 impl<T: Clone> Rollout<T> {
     /// The version that the process starts with.
-    pub fn new(content: T, text: &str, now: Us) -> Rollout<T> {
-        Rollout::after(content, text, 1, Vec::new(), now)
+    pub fn new(content: T, hash: impl Into<Hash>, now: Us) -> Rollout<T> {
+        Rollout::after(content, hash, 1, Vec::new(), now)
     }
 
     /// The same after a restart: the last good version keeps its number, and what was undone is not forgotten.
-    pub fn after(content: T, text: &str, number: u64, undone: Vec<(String, u64)>, now: Us) -> Rollout<T> {
+    pub fn after(content: T, hash: impl Into<Hash>, number: u64, undone: Vec<Marked>, now: Us) -> Rollout<T> {
         let number = number.max(1);
-        let running = Version { number, hash: hash(text), base: number - 1, text: text.into(), content };
+        let running = Version { number, hash: hash.into(), base: number - 1, content };
         let next = undone.iter().map(|(_, number)| *number).max().unwrap_or(0).max(number) + 1;
         let mut rollout = Rollout {
             running,
@@ -151,7 +150,7 @@
         self.news.drain(..).collect()
     }
     /// What was undone: hash and number.
-    pub fn undone(&self) -> impl Iterator<Item = &(String, u64)> {
+    pub fn undone(&self) -> impl Iterator<Item = &Marked> {
         self.undone.iter()
     }
     /// The server leaves: nothing is applied any more.
@@ -174,8 +173,8 @@
 
     /// Takes a change in. It has no effect until it is applied. Hands back its number.
     pub fn stage(&mut self, now: Us, change: Change<T>) -> Result<u64, Refusal> {
-        let Change { content, text, base, wish } = change;
-        let (hash, running) = (hash(&text), self.running.number);
+        let Change { content, hash, base, wish } = change;
+        let running = self.running.number;
         if self.leaving {
             return Err(Refusal::Leaving);
         }
@@ -188,7 +187,7 @@
         if let Some((_, number)) = self.undone.iter().find(|(known, _)| *known == hash && !wish.force) {
             return Err(Refusal::Undone(*number));
         }
-        let version = Version { number: self.next, hash, base: running, text, content };
+        let version = Version { number: self.next, hash, base: running, content };
         let place = match (&self.before, &self.staged, &self.queued) {
             (Some(_), _, Some(queued)) => return Err(Refusal::Queued(queued.number)),
             (Some(_), ..) if wish.queue => &mut self.queued,
--- a/rollout/src/watch.rs
+++ b/rollout/src/watch.rs
@@ -25,6 +25,7 @@
 //! a failure that lasts, and that only this server sees, is undone though it was good.
 
 use crate::Us;
+use asterrill_entries::{Content, Name};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Slots of half a second that must all be bad.
@@ -44,10 +45,11 @@
 const BUSY: f64 = 0.9; // of the cores: work beyond it is more than the old version could do for long
 
 /// What became of the RPCs of each method in a short span, by the old version's targets: asked, ok in time, left
-/// out as their call below failed, and the work of those that came, in microseconds of a core.
+/// out as their call below failed, and the work of those that came, in microseconds of a core. Of methods that were
+/// asked for only: the cost of a sample does not grow with how many there are.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Sample {
-    pub methods: BTreeMap<String, Counted>,
+    pub methods: BTreeMap<Name, Counted>,
 }
 
 /// Of one method.
@@ -122,14 +124,26 @@
     }
 }
 
+/// Half a second of the probation, and what it says by itself: kept, so that it is reckoned once.
+#[derive(Clone, Debug)]
+struct Slot {
+    sample: Sample,
+    /// What was to be expected: criticality asked, and lost of it.
+    due: (f64, f64),
+    bad: bool,
+}
+
 /// The watch over one change.
 #[derive(Clone, Debug)]
 pub struct Watch {
-    weights: BTreeMap<String, f64>,
+    /// The version before: its methods' criticality is looked up, not copied.
+    weights: Content,
     /// Work that the old version could do in a second, in microseconds.
     room: f64,
     before: Sample,
-    recent: VecDeque<Sample>,
+    /// RPCs' worth of evidence in it.
+    evidence: f64,
+    recent: VecDeque<Slot>,
     /// Over the whole probation: what was seen, what was to be expected as criticality asked and lost, and slots
     /// that told something, with the bad ones among them.
     all: Sample,
@@ -142,16 +156,17 @@
 }
 
 impl Watch {
-    /// `weights`: criticality of each method, and `cores`, of the version before.
-    pub fn new(now: Us, before: &Before, weights: BTreeMap<String, f64>, cores: f64, probation: Us) -> Watch {
+    /// `old`: the version before, by whose criticality and cores the change is judged. It is kept until the watch ends.
+    pub fn new(now: Us, before: &Before, old: Content, probation: Us) -> Watch {
         let mut all = before.open.clone();
         before.slots.iter().for_each(|slot| all.add(slot));
         let slots = before.slots.iter().map(Sample::work).fold(0.0, f64::max);
-        let room = (cores * 1e6 * BUSY).max(slots * (1_000_000 / SLOT) as f64);
-        Watch {
-            weights,
+        let room = (crate::check::cores(&old) * 1e6 * BUSY).max(slots * (1_000_000 / SLOT) as f64);
+        let mut watch = Watch {
+            weights: old,
             room,
-            before: all,
+            before: Sample::default(),
+            evidence: 0.0,
             recent: VecDeque::new(),
             all: Sample::default(),
             due: (0.0, 0.0),
@@ -160,7 +175,10 @@
             since: now,
             start: now,
             probation,
-        }
+        };
+        watch.evidence = watch.loss(&all).evidence;
+        watch.before = all;
+        watch
     }
 
     /// Takes in what came since the last time.
@@ -170,28 +188,30 @@
             return Verdict::Wait;
         }
         self.since = now;
-        let slot = std::mem::take(&mut self.open);
-        self.all.add(&slot);
-        let (asked, lost) = self.due(&slot);
-        self.due = (self.due.0 + asked, self.due.1 + lost);
-        if self.loss(&slot).evidence >= FEW {
-            self.told = (self.told.0 + 1, self.told.1 + usize::from(self.bad(&slot)));
+        let sample = std::mem::take(&mut self.open);
+        self.all.add(&sample);
+        let due = self.due(&sample);
+        self.due = (self.due.0 + due.0, self.due.1 + due.1);
+        let seen = self.loss(&sample);
+        // A slot is bad by itself; one that brought too little is neither.
+        let bad = seen.evidence < FEW || seen.share > self.expected(due).share + MARGIN / 2.0;
+        if seen.evidence >= FEW {
+            self.told = (self.told.0 + 1, self.told.1 + usize::from(bad));
         }
         if self.recent.len() >= SLOTS {
             self.recent.pop_front();
         }
-        self.recent.push_back(slot);
+        self.recent.push_back(Slot { sample, due, bad });
         self.decide(now)
     }
 
     fn decide(&self, now: Us) -> Verdict {
         let mut recent = Sample::default();
-        self.recent.iter().for_each(|slot| recent.add(slot));
-        let due = self.recent.iter().map(|slot| self.due(slot));
-        let due = due.fold((0.0, 0.0), |all, one| (all.0 + one.0, all.1 + one.1));
+        self.recent.iter().for_each(|slot| recent.add(&slot.sample));
+        let due = self.recent.iter().fold((0.0, 0.0), |all, slot| (all.0 + slot.due.0, all.1 + slot.due.1));
         let (expected, seen) = (self.expected(due), self.loss(&recent));
         let full = self.recent.len() >= SLOTS && seen.evidence >= LEAST;
-        if full && self.more(expected, seen) && self.recent.iter().all(|slot| self.bad(slot)) {
+        if full && self.more(expected, seen) && self.recent.iter().all(|slot| slot.bad) {
             return Verdict::Undo { expected, seen };
         }
         let passed = now.saturating_sub(self.start);
@@ -217,14 +237,8 @@
         seen.share > expected.share + MARGIN.max(Z * error)
     }
 
-    /// A slot is bad by itself; one that brought too little is neither.
-    fn bad(&self, slot: &Sample) -> bool {
-        let seen = self.loss(slot);
-        seen.evidence < FEW || seen.share > self.expected(self.due(slot)).share + MARGIN / 2.0
-    }
-
     fn weight(&self, name: &str) -> f64 {
-        self.weights.get(name).copied().unwrap_or(0.0)
+        self.weights.method(name).map_or(0.0, |method| method.criticality)
     }
 
     /// The share of criticality that was not answered in time, without what was spoilt below.
@@ -258,7 +272,6 @@
     }
 
     fn expected(&self, (all, lost): (f64, f64)) -> Loss {
-        let evidence = self.loss(&self.before).evidence;
-        Loss { share: if all > 0.0 { lost / all } else { 0.0 }, evidence }
+        Loss { share: if all > 0.0 { lost / all } else { 0.0 }, evidence: self.evidence }
     }
 }
