--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -5,7 +5,7 @@
 use asterrill_agree::Write as Bytes;
 use asterrill_membership::Kept;
 use asterrill_recovery::{Learned, MOST};
-use asterrill_rollout::{recover, write_whole, Standing, State};
+use asterrill_rollout::{recover, write_whole, Kept as Version, Standing, State};
 use slog::{warn, Logger};
 use std::fmt;
 use std::fs::File;
@@ -18,6 +18,7 @@
 const AGREED: &str = "agreed"; // the file of a keeper
 const FORMAT: u32 = 1; // of it
 const VERSIONS: &str = "versions"; // the file of versions
+const FORMER: [&str; 2] = ["good", "probation"]; // files of versions, as builds before kept them
 const LEARNED: &str = "learned"; // the file of what was learned
 
 /// Told the number of a write that stands on disk.
@@ -89,7 +90,7 @@
     let path = dir.join(VERSIONS);
     let read = match File::open(&path) {
         Ok(file) => recover(BufReader::new(file)).map_err(|fault| fault.to_string()),
-        Err(e) if e.kind() == io::ErrorKind::NotFound => return None,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return find_former(dir, log),
         Err(e) => Err(e.to_string()),
     };
     match read {
@@ -111,6 +112,44 @@
     }
 }
 
+/// Reads versions as builds before the file of versions kept them, each a whole text in a file of its own. What was
+/// undone then is not known any more: it was named by a hash of the text.
+fn find_former(dir: &Path, log: &Logger) -> Option<State> {
+    let read = |name: &str| -> Result<Option<Version>, String> {
+        let mut text = String::new();
+        match File::open(dir.join(name)).and_then(|file| file.take(MOST as u64 + 1).read_to_string(&mut text))
+        {
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+            read => read.map_err(|e| e.to_string())?,
+        };
+        let body = asterrill_recovery::open("state", FORMAT, &text).map_err(|fault| fault.to_string())?;
+        former(body).map(Some)
+    };
+    let read = |name: &str| {
+        read(name).unwrap_or_else(|why| {
+            warn!(log, "a state file is not used"; "path" => %dir.join(name).display(), "why" => why);
+            None
+        })
+    };
+    let [good, probation] = FORMER.map(read);
+    Some(State { good: good?, probation, undone: Vec::new() })
+}
+
+/// `version N`, what was undone, `text` with its length; then settings and limits in JSON, and the operator's file.
+fn former(body: &str) -> Result<Version, String> {
+    let bad = || "it is damaged".to_string();
+    let (first, _) = body.split_once('\n').ok_or_else(bad)?;
+    let number = first.strip_prefix("version ").and_then(|number| number.parse().ok()).ok_or_else(bad)?;
+    let (_, text) = body.split_once("\ntext ").and_then(|(_, rest)| rest.split_once('\n')).ok_or_else(bad)?;
+    let (json, file) = text.split_once("\n---\n").unwrap_or((text, ""));
+    let value: serde_json::Value = serde_json::from_str(json).map_err(|e| e.to_string())?;
+    let part = |name| asterrill_settings::part(&value, name).map_err(|fault| fault.to_string());
+    let (settings, limits) = (part("settings")?, part("limits")?);
+    let limit = |name| asterrill_settings::integer(limits, name).map_err(|fault| fault.to_string());
+    let content = asterrill_settings::content_of(settings, limit("memory_mb")?, limit("sockets")?);
+    Ok(Version { number, content: content.map_err(|fault| fault.to_string())?, file: file.into() })
+}
+
 impl Store {
     /// Starts the thread that writes.
     pub fn start(dir: &Path, log: &Logger) -> io::Result<Store> {
@@ -207,6 +246,8 @@
         return Ok(());
     }
     *standing = Some(put_text(dir, &path, |to| write_whole(&state, to))?);
+    // What a build before left has had its day; where it can't be removed it is not looked at all the same.
+    FORMER.iter().for_each(|name| std::fs::remove_file(dir.join(name)).unwrap_or_default());
     Ok(())
 }
 
@@ -224,7 +265,9 @@
 }
 
 /// Writes and syncs.
-fn write_text<T>(file: File, write: impl FnOnce(&mut dyn fmt::Write) -> Result<T, fmt::Error>) -> io::Result<T> {
+fn write_text<T>(
+    file: File, write: impl FnOnce(&mut dyn fmt::Write) -> Result<T, fmt::Error>,
+) -> io::Result<T> {
     let mut pieces = Pieces { to: BufWriter::new(file), fault: Ok(()) };
     let done = write(&mut pieces);
     pieces.fault?;
