--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -214,7 +214,9 @@
 fn is_step(text: &str) -> bool {
     let first = text.trim_start().lines().next().filter(|line| line.starts_with('{') && line.len() <= ENTRY);
     let first = first.and_then(|line| serde_json::from_str::<Value>(line).ok());
-    first.is_some_and(|line| ["put", "take", "frame", "base", "hash"].iter().any(|key| line.get(key).is_some()))
+    first.is_some_and(|line| {
+        ["put", "take", "frame", "base", "hash"].iter().any(|key| line.get(key).is_some())
+    })
 }
 
 /// What a request hands in: a step, or a file's whole text.
--- a/consumer/src/routes.rs
+++ b/consumer/src/routes.rs
@@ -76,9 +76,8 @@
     headers: &Headers, queue: &str, (method, tenant, caller): (&Select, &Select, &Select), known: &dyn Known,
 ) -> Result<Route, Unrouted> {
     let name = method.of(headers);
-    let (method, effect) = name
-        .and_then(|name| known.method(name))
-        .ok_or_else(|| Unrouted::Method(name.map(str::to_string)))?;
+    let (method, effect) =
+        name.and_then(|name| known.method(name)).ok_or_else(|| Unrouted::Method(name.map(str::to_string)))?;
     let name = tenant.of(headers);
     let tenant = name.and_then(|name| known.tenant(name));
     if tenant.is_none() && known.tells_tenants() {
--- a/daemon/src/change.rs
+++ b/daemon/src/change.rs
@@ -11,8 +11,8 @@
 use asterrill_entries::{read_step, Change as Entry, Content as Entries, Kind};
 use asterrill_net::now;
 use asterrill_rollout::{
-    check, difference, hash, Before, Change, Event, Hash, Kept, Marked, Problem, Refusal, Rollout, Seen, Stage,
-    State, Verdict, Version, Watch, Wish,
+    check, difference, hash, Before, Change, Event, Hash, Kept, Marked, Problem, Refusal, Rollout, Seen,
+    Stage, State, Verdict, Version, Watch, Wish,
 };
 use asterrill_settings::{Deployment, Fault};
 use serde_json::{json, Value};
@@ -364,8 +364,7 @@
                 Some(Ok(prepared)) if prepared.against == running.number => Ok(prepared),
                 Some(Err(told)) => Err(told),
                 _ => {
-                    let asked =
-                        Asked { what: What::Entries(to.content), base: None, wish: Wish::default() };
+                    let asked = Asked { what: What::Entries(to.content), base: None, wish: Wish::default() };
                     prepare(&self.glance(hub), asked, self.terms, self.seed)
                 }
             };
@@ -433,7 +432,9 @@
         }
     }
 
-    fn apply(&mut self, hub: &Hub, if_base: Option<u64>, probation: Option<Us>, pause: &mut Pause<'_>) -> Told {
+    fn apply(
+        &mut self, hub: &Hub, if_base: Option<u64>, probation: Option<Us>, pause: &mut Pause<'_>,
+    ) -> Told {
         let (at, probation) = (now(), probation.unwrap_or(self.terms.probation));
         let before = self.rollout.running().content.clone();
         let version = match self.rollout.apply(at, if_base, probation) {
@@ -521,7 +522,8 @@
             Ok(version) => {
                 self.watch = None;
                 self.meanwhile = Before::default();
-                let (step, before) = (self.step_of(&undone, &version.content), version.content.entries.clone());
+                let (step, before) =
+                    (self.step_of(&undone, &version.content), version.content.entries.clone());
                 let done = self.carry_out(hub, &version, &step, |entry| back(entry, &before), pause);
                 hub.with(|core, _, _| core.settled());
                 self.running.set(&version.content);
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -395,9 +395,7 @@
     }
 
     /// Whether a change could be staged, and these queues be taken up with it.
-    pub fn could_take(
-        &self, changes: &[Change], terms: &[asterrill_consumer::Terms],
-    ) -> Result<(), String> {
+    pub fn could_take(&self, changes: &[Change], terms: &[asterrill_consumer::Terms]) -> Result<(), String> {
         if self.around.queues.as_ref().is_some_and(|queues| !queues.could_take(terms)) {
             return Err("there were too many queues since the start: start anew".into());
         }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -32,7 +32,9 @@
 use crate::wire::{ConnId, LinkId};
 use asterrill::Us;
 use asterrill_conf::{File, Form};
-use asterrill_net::{drive, hold, listen, now, spawn, turn, wait_until, Address, End, Outbox, Pause as Rest, Pool};
+use asterrill_net::{
+    drive, hold, listen, now, spawn, turn, wait_until, Address, End, Outbox, Pause as Rest, Pool,
+};
 use asterrill_protocol::{agent, frames, records};
 use asterrill_recovery::{phase, Moment};
 use asterrill_rollout::{start_with, Marked, Start, Wish};
@@ -213,9 +215,8 @@
         let (pool, pause) = (pool.clone(), Rest::new(ms(10), ms(1000), chance.generate()));
         let places = places.clone();
         spawn("agent", move || {
-            let make = move |at, cold| {
-                asterrill_settings::server(at, seed, &running.get().entries, Some(cold)).ok()
-            };
+            let make =
+                move |at, cold| asterrill_settings::server(at, seed, &running.get().entries, Some(cold)).ok();
             let (out, make) = (agent_out.clone(), Box::new(make));
             let mut party = Agent { hub, out, notices: agent::Reader::default(), make, useful: false };
             hold(&places.agent, &agent_out, &pool, true, pause, &mut party);
--- a/daemon/src/names.rs
+++ b/daemon/src/names.rs
@@ -2,7 +2,6 @@
 //! are known. Which of them are in force is the module's to say: a name whose terms are staged is found here already,
 //! and one that was taken still is, until the change that took it is settled.
 
-
 use asterrill::{Effect, MethodId, Term, Us};
 use asterrill_entries::{Change, Name, METHODS};
 use asterrill_settings::Server;
@@ -38,7 +37,8 @@
     pub fn new(server: &mut Server) -> Names {
         let (names, tenants) = (std::mem::take(&mut server.methods), std::mem::take(&mut server.tenants));
         let of_methods = names.iter().cloned().zip((0..).map(MethodId)).collect();
-        let of = |((name, effect), target): ((Name, &Effect), &Us)| Of { name, effect: *effect, target: *target };
+        let of =
+            |((name, effect), target): ((Name, &Effect), &Us)| Of { name, effect: *effect, target: *target };
         let methods = names.into_iter().zip(&server.effects).zip(&server.targets).map(of).collect();
         let (places, tells_tenants) = (tenants.len(), !tenants.is_empty());
         let tenants = tenants.into_iter().zip(0..).collect();
@@ -85,7 +85,8 @@
         if self.methods.len() + changes.iter().filter(put).count() <= METHODS {
             return Ok(());
         }
-        let fresh = |change: &&Change| matches!(change, Change::PutMethod(name, _) if self.method(name).is_none());
+        let fresh =
+            |change: &&Change| matches!(change, Change::PutMethod(name, _) if self.method(name).is_none());
         if self.methods.len() + changes.iter().filter(fresh).count() <= METHODS {
             return Ok(());
         }
--- a/daemon/src/queues.rs
+++ b/daemon/src/queues.rs
@@ -65,8 +65,7 @@
 impl Queues {
     pub fn new(now: Us, setup: Setup) -> Queues {
         let mut chance = WyRand::new_seed(setup.seed);
-        let queue =
-            |(i, terms): (usize, Terms)| Queue::new(now, i as u16 + 1, chance.generate(), terms);
+        let queue = |(i, terms): (usize, Terms)| Queue::new(now, i as u16 + 1, chance.generate(), terms);
         let queues = setup.terms.into_iter().enumerate().map(queue).collect();
         Queues {
             session: Session::new(setup.login),
--- a/daemon/src/returning.rs
+++ b/daemon/src/returning.rs
@@ -6,7 +6,8 @@
 use asterrill_engine::Counts;
 use asterrill_entries::Name;
 use asterrill_recovery::{
-    weigh, Beat, Evidence, Kept, Learned, Moment, Opening, Present, Seen, Stage, Stages, Targets, Terms, METHODS, TENANTS,
+    weigh, Beat, Evidence, Kept, Learned, Moment, Opening, Present, Seen, Stage, Stages, Targets, Terms,
+    METHODS, TENANTS,
 };
 
 const LOOK: Us = 100_000; // between looks at what was served and called
@@ -148,8 +149,11 @@
         };
         let mut methods: Vec<_> = learned.costs.iter().filter_map(of_method).collect();
         first(&mut methods, METHODS, |(name, ..)| name);
-        let kept = |(name, target, mean, runs): (&Name, Us, f64, f64)| {
-            Kept { name: name.to_string(), target, mean, runs }
+        let kept = |(name, target, mean, runs): (&Name, Us, f64, f64)| Kept {
+            name: name.to_string(),
+            target,
+            mean,
+            runs,
         };
         let mut tenants = known.tenants();
         first(&mut tenants, TENANTS, |(name, _)| name);
--- a/daemon/src/tests/control.rs
+++ b/daemon/src/tests/control.rs
@@ -29,7 +29,10 @@
         (b"{\"v\": 1, \"do\": \"stage\"}\n", "stage wants text or step"),
         (b"{\"v\": 1, \"do\": \"diff\", \"step\": 3}\n", "diff wants text or step"),
         (b"{\"v\": 1, \"do\": \"stage\", \"step\": \"s\", \"text\": \"t\"}\n", "text or step, not both"),
-        (b"{\"v\": 1, \"do\": \"stage\", \"step\": \"s\", \"base\": 3}\n", "what: Step(\\\"s\\\"), base: Some(3)"),
+        (
+            b"{\"v\": 1, \"do\": \"stage\", \"step\": \"s\", \"base\": 3}\n",
+            "what: Step(\\\"s\\\"), base: Some(3)",
+        ),
         (b"{\"v\": 2, \"do\": \"status\"}\n", "speaks version 1"),
         (b"{\"v\": 1, \"do\": \"dance\"}\n", "is not known"),
         (b"what?\n", "not JSON"),
@@ -89,7 +92,10 @@
         said.push(line);
     }
     assert!(said[0].contains("a line of 4 MiB at most, within 5 s"), "{said:?}");
-    assert!(said[1].contains("more than 512 KiB is being read") || said[1].contains("within 5 s"), "{said:?}");
+    assert!(
+        said[1].contains("more than 512 KiB is being read") || said[1].contains("within 5 s"),
+        "{said:?}"
+    );
     assert!(ask(&path, &long).contains("\"ok\":true"), "and then there is room again");
     std::fs::remove_file(&path).unwrap();
 }
