--- a/daemon/src/change.rs
+++ b/daemon/src/change.rs
@@ -111,7 +111,7 @@
     content: Content,
     hash: Hash,
     /// What leads there from that version.
-    step: Arc<[Entry]>,
+    step: Arc<Vec<Entry>>,
     base: Option<u64>,
     wish: Wish,
     /// What it means, a line each, and what is risky about it.
@@ -171,6 +171,7 @@
             if let Some(given) = step.hash.filter(|given| *given != digest) {
                 return Err(refused(&format!("it was made from hash {given}, but {digest} runs")));
             }
+            drop(text);
             let applied = running.entries.apply(&step.changes);
             content.entries = applied.map_err(|fault| refused(&fault.to_string()))?;
         }
@@ -184,7 +185,8 @@
             content.text = text.into();
         }
     }
-    let step: Arc<[Entry]> = running.entries.changes_to(&content.entries).into();
+    // In its shortest form, with names as they are held.
+    let step = Arc::new(running.entries.changes_to(&content.entries));
     // What is booked now is a part of what there is.
     let (old, new) = (running.entries.frame(), content.entries.frame());
     let free = free_kb();
@@ -262,7 +264,7 @@
 pub struct Changes {
     rollout: Rollout<Content>,
     /// Of versions that are staged, wait or are on probation: what leads there from the one before.
-    steps: BTreeMap<u64, Arc<[Entry]>>,
+    steps: BTreeMap<u64, Arc<Vec<Entry>>>,
     running: Arc<Running>,
     before: Before,
     /// The same since the change that is watched: what the next one is measured by, if this one stays.
@@ -465,10 +467,10 @@
     }
 
     /// What led to a version from the one before.
-    fn step_of(&self, version: &Version<Content>, before: &Content) -> Arc<[Entry]> {
+    fn step_of(&self, version: &Version<Content>, before: &Content) -> Arc<Vec<Entry>> {
         match self.steps.get(&version.number) {
             Some(step) => step.clone(),
-            None => before.entries.changes_to(&version.content.entries).into(),
+            None => Arc::new(before.entries.changes_to(&version.content.entries)),
         }
     }
 
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -489,6 +489,11 @@
     pub fn learned(&self) -> asterrill::Experience {
         self.engine.learned()
     }
+    /// Places of tenants that there ever were.
+    #[cfg(test)]
+    pub fn places(&self) -> usize {
+        self.around.server.places()
+    }
     /// Other settings came into force; their hash.
     pub fn settings_now(&mut self, hash: u64) {
         self.around.returning.iter_mut().for_each(|returning| returning.change(hash));
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -1237,3 +1237,128 @@
     assert_eq!(turned(&mut world), [true, true, false], "a word may have been taken back");
     assert_eq!((world.core.counted().barred, world.out.faults.len()), (5, 0));
 }
+
+/// A version with these tenants, beside what `server` says.
+fn with_tenants(names: &[String]) -> Entries {
+    let mut settings = server();
+    settings["Tenants"] = names.iter().map(|name| json!({"Name": name, "QuotaRps": 1_000_000})).collect();
+    content(&settings)
+}
+
+#[test]
+fn entries_that_are_staged_show_nowhere_until_all_of_them_are_in_force() {
+    let mut w = World::new(41);
+    let asks = |w: &mut World, method: &str, tenant: &str| {
+        w.next += 1;
+        let (id, place) = (RpcId::of(w.next), Place { conn: ConnId(w.next), stream: StreamId(1) });
+        let (method, tenant, caller) = (method.to_string(), tenant.to_string(), CallerId(1));
+        let (born, due) = (w.now, Some(w.now + 800 * MS));
+        w.out.bodies.insert(id, b"body".to_vec());
+        let ask = Ask { id, method, tenant, caller, born, due, size_kb: 1.0, key: None };
+        w.core.rpc_read(w.now, place, ask, b"body", &mut w.out);
+        // It runs, waits, or is pushed back, where it is known.
+        w.out.answers.get(&place).is_none_or(|(what, _)| *what != "aborted")
+    };
+    let under = |w: &mut World| {
+        [("look", "acme"), ("book", "acme"), ("look", "nile"), ("sell", "acme")].map(|(m, t)| asks(w, m, t))
+    };
+    let before = [true, true, false, false];
+    assert_eq!(under(&mut w), before);
+    let mut settings = server();
+    settings["Categories"][1]["Name"] = json!("sell");
+    settings["Tenants"] = json!([{"Name": "nile", "QuotaRps": 1_000_000}]);
+    let to = content(&settings);
+    let step = w.entries.changes_to(&to);
+    assert_eq!(step.len(), 4, "one put and one taken of each kind");
+    for entry in &step {
+        w.core.stage(std::slice::from_ref(entry));
+        assert_eq!(under(&mut w), before, "after {entry:?}");
+    }
+    w.core.change(w.now, flip(w.now, 2, &to), &mut w.out);
+    assert_eq!(under(&mut w), [false, false, true, false], "acme is gone, and so is book");
+    assert!(asks(&mut w, "sell", "nile"));
+    // And back, by the same entries turned round.
+    let back = to.changes_to(&w.entries);
+    w.core.stage(&back);
+    w.core.change(w.now, flip(w.now, 3, &w.entries), &mut w.out);
+    assert_eq!(under(&mut w), before);
+    assert_eq!(w.core.counted().half_applied, 0);
+}
+
+#[test]
+fn a_storm_of_tenants_that_come_and_go_takes_no_more_places_than_there_are_at_a_time() {
+    let mut w = World::new(42);
+    let mut running = w.entries.clone();
+    for n in 0..300_u64 {
+        // One comes and the one before goes; each third change is undone instead of settled.
+        let to = with_tenants(&["acme".to_string(), format!("guest {n}")]);
+        change(&mut w.core, w.now, &running, &to, 2 * n + 2, &mut w.out);
+        if n % 3 == 0 {
+            change(&mut w.core, w.now, &to, &running, 2 * n + 3, &mut w.out);
+        } else {
+            running = to;
+        }
+        w.core.settled();
+        assert!(w.core.places() <= 3, "{} places after {n} changes", w.core.places());
+    }
+    let place = w.ask(1, "look", 900 * MS, None);
+    assert!(w.out.answers.get(&place).is_none_or(|(what, _)| *what != "aborted"), "acme is where it was");
+}
+
+#[test]
+fn as_many_methods_as_a_version_may_hold_have_places_and_one_more_is_refused_before_anything_is_staged() {
+    let many = asterrill_entries::METHODS as u64;
+    let of = |names: &mut dyn Iterator<Item = u64>| {
+        let mut settings = server();
+        let method = |n: u64| json!({"Name": format!("m{n}"), "AimMs": 400, "DeadlineMs": 900, "Effect": "free", "Worth": 1});
+        settings["Categories"] = names.map(method).collect();
+        content(&settings)
+    };
+    let (half, whole) = (of(&mut (0..many / 2)), of(&mut (0..many)));
+    let first = asterrill_settings::server(START, 1, &half, None).unwrap();
+    let (mut core, mut out) = (Core::new(START, first, Pool::new(50), 4), Out::default());
+    change(&mut core, START, &half, &whole, 2, &mut out);
+    // Any figure of those that are known may change, however many.
+    change(&mut core, START, &whole, &half, 3, &mut out);
+    change(&mut core, START, &half, &whole, 4, &mut out);
+    let other = of(&mut (1..many + 1));
+    let told = core.could_take(&whole.changes_to(&other), &[]).unwrap_err();
+    assert!(told.contains("more than 20000 methods since the start"), "{told}");
+}
+
+#[test]
+fn a_look_at_service_tells_of_what_was_asked_for_only_and_the_minute_of_what_was_read_in_it() {
+    let names: Vec<asterrill_entries::Name> = (0..5_000).map(|n| format!("m{n}").into()).collect();
+    let mut service = crate::service::Service::new(0, vec![400 * MS; names.len()]);
+    let asked = std::cell::Cell::new(0);
+    let name = |method: asterrill::MethodId| {
+        asked.set(asked.get() + 1);
+        names.get(method.0).cloned()
+    };
+    let of = asterrill::MethodId;
+    for _ in 0..3 {
+        service.read(of(7));
+        service.read(of(4_000));
+        service.answered(asterrill_engine::Served { method: of(7), took: 1, spoilt: false }, true);
+    }
+    let sample = service.take(name, |_| 2.0);
+    assert_eq!(asked.get(), 2, "names that are looked at");
+    let counted = |n: &str| sample.methods[n];
+    assert_eq!((counted("m7").asked, counted("m7").in_time, counted("m7").work), (3.0, 3.0, 6.0));
+    assert_eq!((counted("m4000").asked, counted("m4000").work), (0.0, 6.0));
+    assert!(service.take(name, |_| 2.0).methods.is_empty() && asked.get() == 2);
+    service.answered(asterrill_engine::Served { method: of(4_000), took: 1, spoilt: true }, false);
+    assert_eq!(service.take(name, |_| 2.0).methods["m4000"].spoilt, 1.0);
+    asked.set(0);
+    service.pass(30_000 * MS);
+    service.read(of(9));
+    let seen = service.seen(31_000 * MS, name, |_| 2.0);
+    assert_eq!((asked.get(), seen.methods["m7"], seen.methods["m9"]), (3, (3.0, 2.0), (1.0, 2.0)));
+    service.pass(60_000 * MS);
+    let seen = service.seen(61_000 * MS, name, |_| 2.0);
+    assert_eq!(
+        seen.methods.keys().map(|name| &**name).collect::<Vec<_>>(),
+        ["m9"],
+        "the rest is over a minute ago"
+    );
+}
