--- a/cli/tests/cli.rs
+++ b/cli/tests/cli.rs
@@ -108,3 +108,70 @@
     let (code, said) = run(&["man"]);
     assert!(code == Some(0) && said.contains(".TH asterrill"));
 }
+
+const STEP: &str = "{\"base\":2}\n{\"put\":\"tenant\",\"Name\":\"nile\",\"QuotaRps\":5}\n";
+
+#[test]
+fn diff_takes_a_step_against_a_file_and_names_what_is_wrong_with_it() {
+    let old = file("step-old", &config().to_string());
+    let step = file("step", STEP);
+    let diff = |new: &PathBuf| run(&["diff", old.to_str().unwrap(), new.to_str().unwrap()]);
+    assert_eq!(diff(&step), (Some(1), "tenant nile: RPCs a second: 0 -> 5\n".into()));
+    let (code, said) = run(&["diff", old.to_str().unwrap(), step.to_str().unwrap(), "--json"]);
+    assert!(code == Some(1) && said.contains("\"entries\":1"), "{said}");
+    assert_eq!(diff(&file("step-none", "{\"base\":2}\n")), (Some(0), String::new()));
+    for (text, part) in [
+        ("{\"take\":\"tenant\",\"Name\":\"nobody\"}\n", "tenant nobody is not known"),
+        ("{\"base\":2}\n{\"put\":\"tenant\",\"Name\":\"nile\",\"QuotaRps\":-5}\n", "line 2"),
+        ("{\"hash\":\"00000000000000000000000000000000\"}\n{\"put\":\"tenant\",\"Name\":\"nile\",\"QuotaRps\":5}\n", "made from hash"),
+    ] {
+        let (code, said) = diff(&file("step-wrong", text));
+        assert!(code == Some(1) && said.contains(part) && said.contains("step-wrong"), "{said}");
+    }
+    let (code, said) = run(&["check", step.to_str().unwrap()]);
+    assert!(code == Some(1) && said.contains("a step is checked against what it changes"), "{said}");
+}
+
+#[test]
+fn a_step_goes_over_the_socket_as_one_and_what_is_not_taken_up_is_not_left_staged() {
+    let path = std::env::temp_dir().join(format!("asterrill-cli-{}-steps", std::process::id()));
+    std::fs::remove_file(&path).unwrap_or_default();
+    let listener = UnixListener::bind(&path).unwrap();
+    let answers = [
+        json!({"ok": true, "entries": 1, "changes": ["tenant nile: RPCs a second: 0 -> 5"]}),
+        json!({"ok": true, "entries": 0, "changes": []}),
+        json!({"ok": true, "version": 3, "entries": 1}),
+        json!({"ok": true, "version": 3, "took_us": 90}),
+        json!({"ok": true, "version": 4}),
+        json!({"ok": false, "error": "version 3 is on probation"}),
+        json!({"ok": true}),
+        json!({"ok": false, "error": "it was made from version 2, but version 3 runs"}),
+    ];
+    let served = std::thread::spawn(move || {
+        answers.map(|told| {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut line = String::new();
+            BufReader::new(stream.try_clone().unwrap()).read_line(&mut line).unwrap();
+            stream.write_all(format!("{told}\n").as_bytes()).unwrap();
+            serde_json::from_str::<Value>(&line).unwrap()
+        })
+    });
+    let (step, socket) = (file("sent", STEP), path.to_str().unwrap());
+    let step = step.to_str().unwrap();
+    let (code, said) = run(&["diff", step, "--socket", socket]);
+    assert!(code == Some(1) && said.contains("0 -> 5"), "{said}");
+    assert_eq!(run(&["diff", step, "--socket", socket]).0, Some(0));
+    let (code, said) = run(&["apply", step, "--probation", "1s", "--socket", socket, "--json"]);
+    assert!(code == Some(0) && said.contains("\"entries\":1") && said.contains("\"took_us\":90"), "{said}");
+    let (code, said) = run(&["apply", step, "--socket", socket]);
+    assert!(code == Some(1) && said.contains("on probation"), "{said}");
+    let (code, said) = run(&["stage", step, "--base", "2", "--socket", socket]);
+    assert!(code == Some(1) && said.contains("but version 3 runs"), "{said}");
+    let asked = served.join().unwrap();
+    let todo: Vec<&str> = asked.iter().map(|asked| asked["do"].as_str().unwrap()).collect();
+    assert_eq!(todo, ["diff", "diff", "stage", "apply", "stage", "apply", "drop", "stage"]);
+    assert!(asked.iter().filter(|a| a["do"] != "apply" && a["do"] != "drop").all(|a| a["step"] == STEP));
+    assert!(asked.iter().all(|asked| asked["text"].is_null()));
+    assert_eq!((&asked[3]["probation_us"], &asked[7]["base"]), (&json!(1_000_000), &json!(2)));
+    std::fs::remove_file(path).unwrap();
+}
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -39,7 +39,7 @@
 
 impl Hold<'_> {
     fn take(held: &AtomicBool) -> Option<Hold<'_>> {
-        (!held.swap(true, Ordering::AcqRel)).then_some(Hold(held))
+        (!held.swap(true, Ordering::AcqRel)).then(|| Hold(held))
     }
 }
 
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -489,6 +489,11 @@
     pub fn learned(&self) -> asterrill::Experience {
         self.engine.learned()
     }
+    #[cfg(test)]
+    pub fn knows_tenant(&self, name: &str) -> bool {
+        let known = InForce { names: &self.around.server, engine: &self.engine };
+        asterrill_consumer::Known::tenant(&known, name).is_some()
+    }
     /// Places of tenants that there ever were.
     #[cfg(test)]
     pub fn places(&self) -> usize {
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -13,6 +13,7 @@
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod change;
 mod hub;
 
 const MS: Us = 1_000;
--- /dev/null
+++ b/daemon/src/tests/change.rs
@@ -0,0 +1,117 @@
+//! Changes carried out at a hub, with what comes between two slices of them.
+
+use super::*;
+use crate::change::{prepare, Asked, Changes, Content, Prepared, Terms, Wanted, What};
+use crate::hub::Hub;
+use asterrill_net::{now, one_worker, spawn, Outbox};
+use asterrill_rollout::Wish;
+use std::sync::Arc;
+
+const TERMS: Terms = Terms { probation: 600_000 * MS, factor: 10.0 };
+
+/// A version with so many guests beside acme.
+fn guests(names: std::ops::Range<usize>) -> Entries {
+    with_tenants(
+        &std::iter::once("acme".into()).chain(names.map(|n| format!("guest {n}"))).collect::<Vec<_>>(),
+    )
+}
+
+fn begin(start: &Entries) -> (Arc<Hub>, Changes) {
+    let pool = Pool::new(500);
+    let server = asterrill_settings::server(now(), 1, start, None).unwrap();
+    let core = Core::new(now(), server, Pool::new(500), 4);
+    let agent = Outbox::new(&pool, 1 << 16);
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let hub = Arc::new(Hub::new(core, agent, Vec::new(), 8, u64::MAX, [pool, Pool::new(500)], log));
+    hub.with(|core, wire, now| core.start(now, wire));
+    let content = Content::new(start.clone(), asterrill_conf::File::default(), "");
+    (hub, Changes::new(content, 1, Vec::new(), TERMS, 1, None))
+}
+
+fn read(hub: &Hub, changes: &Changes, to: &Entries) -> Prepared {
+    let wish = Wish { force: true, queue: false };
+    let asked = Asked { what: What::Entries(to.clone()), base: None, wish };
+    prepare(&changes.glance(hub), asked, TERMS, 1).unwrap()
+}
+
+fn knows(hub: &Hub, tenant: &str) -> bool {
+    hub.with(|core, _, _| core.knows_tenant(tenant))
+}
+
+#[test]
+fn others_have_a_turn_between_slices_and_see_the_version_before_until_the_last_one_is_in() {
+    let (start, to) = (guests(0..1_000), guests(500..1_500));
+    let (hub, mut changes) = begin(&start);
+    let prepared = read(&hub, &changes, &to);
+    let mut turns = 0;
+    let mut pause = |hub: &Hub| {
+        turns += 1;
+        assert!(
+            knows(hub, "guest 0") && !knows(hub, "guest 1499") && hub.with(|core, _, _| core.version()) == 1
+        );
+    };
+    let staged = changes.want(&hub, Wanted::Stage(Box::new(prepared)), &mut pause);
+    assert_eq!((&staged["ok"], &staged["entries"]), (&json!(true), &json!(1_000)));
+    let applied = changes.want(&hub, Wanted::Apply { if_base: Some(1), probation: None }, &mut pause);
+    assert_eq!(applied["ok"], json!(true), "{applied}");
+    assert_eq!(turns, 4, "five slices of 200");
+    assert!(!knows(&hub, "guest 0") && knows(&hub, "guest 1499") && knows(&hub, "guest 700"));
+    let mut turns = 0;
+    let undone = changes.want(&hub, Wanted::Undo, &mut |_| turns += 1);
+    assert_eq!((&undone["ok"], turns), (&json!(true), 4));
+    assert!(knows(&hub, "guest 0") && !knows(&hub, "guest 1499"));
+    assert_eq!(hub.counted().half_applied, 0);
+}
+
+#[test]
+fn a_file_that_was_read_against_another_version_is_compared_anew() {
+    let start = guests(0..3);
+    let (hub, mut changes) = begin(&start);
+    let mut file = server();
+    file["Tenants"] = json!([{"Name": "acme", "QuotaRps": 500_000}, {"Name": "guest 0", "QuotaRps": 1_000_000},
+        {"Name": "guest 1", "QuotaRps": 1_000_000}, {"Name": "guest 2", "QuotaRps": 1_000_000}]);
+    let to = content(&file);
+    let old = read(&hub, &changes, &to);
+    // Meanwhile a step comes into force that puts one whom the file does not know.
+    let prepared = read(&hub, &changes, &guests(0..4));
+    for wanted in
+        [Wanted::Stage(Box::new(prepared)), Wanted::Apply { if_base: None, probation: None }, Wanted::Settle]
+    {
+        assert_eq!(changes.want(&hub, wanted, &mut |_| ())["ok"], json!(true));
+    }
+    assert!(knows(&hub, "guest 3"));
+    let nowhere = "127.0.0.1:1";
+    let whole = json!({"name": "n1", "listen": nowhere, "agent": nowhere, "naming": nowhere, "seed": "1",
+        "stop_ms": 900, "limits": {"memory_mb": 64, "sockets": 64}, "settings": file});
+    let deployment = asterrill_settings::read(&whole.to_string()).unwrap();
+    changes.reread(&hub, deployment, Some(Ok(old)), &mut |_| ());
+    // Compared with what runs now, a tenant goes: that is risky, so it is refused whole.
+    let status = changes.want(&hub, Wanted::Status, &mut |_| ());
+    assert_eq!(
+        (&status["version"], &status["counters"]["changes_refused"]),
+        (&json!(2), &json!(1)),
+        "{status}"
+    );
+    assert!(knows(&hub, "guest 3"));
+}
+
+#[test]
+fn a_notice_to_leave_is_told_between_two_slices() {
+    one_worker().unwrap();
+    let (hub, _) = begin(&guests(0..3));
+    let (told, heard) = std::sync::mpsc::channel();
+    spawn("clock", move || {
+        let orders = crate::Orders::default();
+        let mut leaving = crate::Leaving { peers: None, store: None, stop: 900 * MS, came: false };
+        hub.clock.attend();
+        crate::between(&hub, &orders, &mut leaving, false);
+        let before = hub.serving();
+        orders.lock().leave = true;
+        crate::between(&hub, &orders, &mut leaving, false);
+        told.send((before, hub.serving(), leaving.came, orders.lock().leave)).unwrap();
+    })
+    .unwrap();
+    let (before, after, came, stays) = heard.recv_timeout(std::time::Duration::from_secs(10)).unwrap();
+    assert!(before != Some(false) && after == Some(false) && came);
+    assert!(stays, "the rest of it is done once the change is in");
+}
--- a/daemon/src/tests/control.rs
+++ b/daemon/src/tests/control.rs
@@ -59,14 +59,35 @@
 fn of_long_requests_one_is_held_at_a_time_and_the_others_wait_or_are_told_so() {
     let path = std::env::temp_dir().join(format!("asterrilld-long-{}", std::process::id()));
     std::fs::remove_file(&path).unwrap_or_default();
-    let told: Ask = Arc::new(|request| match request {
-        Request::Stage(Asked { what: What::Step(step), .. }) => json!({"ok": true, "bytes": step.len()}),
+    // A long one waits a while for the company of another, which it must not get.
+    let (inside, came) = (std::sync::Mutex::new((0_u32, 0_u32)), std::sync::Condvar::new());
+    let told: Ask = Arc::new(move |request| match request {
+        Request::Stage(Asked { what: What::Step(step), .. }) => {
+            let mut now = inside.lock().unwrap();
+            now.0 += 1;
+            now.1 = now.1.max(now.0);
+            came.notify_all();
+            let wait = Duration::from_millis(300);
+            now = came.wait_timeout_while(now, wait, |now| now.1 < 2).unwrap().0;
+            now.0 -= 1;
+            json!({"ok": true, "bytes": step.len(), "together": now.1})
+        }
         other => json!({"ok": false, "error": format!("{other:?}")}),
     });
     listen(&path, told, &Logger::root(slog::Discard, slog::o!())).unwrap();
     let bytes = 3 * 1024 * 1024;
     let long = format!("{{\"v\": 1, \"do\": \"stage\", \"step\": \"{}\"}}\n", "s".repeat(bytes)).into_bytes();
     assert!(ask(&path, &long).contains(&format!("\"bytes\":{bytes}")));
+    let all: Vec<_> = (0..3)
+        .map(|_| {
+            let (at, whole) = (path.clone(), long.clone());
+            std::thread::spawn(move || ask(&at, &whole))
+        })
+        .collect();
+    for one in all {
+        let told = one.join().unwrap();
+        assert!(told.contains("\"together\":1"), "{told}");
+    }
     // One is half there: another waits until it is whole, and is answered after it.
     let mut first = UnixStream::connect(&path).unwrap();
     first.write_all(&long[..bytes / 2]).unwrap();
--- a/daemon/tests/steps.rs
+++ b/daemon/tests/steps.rs
@@ -482,10 +482,15 @@
     node.write();
     node.signal("HUP");
     let until = Instant::now() + WAIT;
-    while !std::fs::read_to_string(node.dir.join("state/versions"))
-        .is_ok_and(|text| text.contains("step probation"))
-    {
-        assert!(Instant::now() < until, "{}", node.status());
+    loop {
+        let status = node.status();
+        let hash = status["hash"].as_str().unwrap();
+        let kept = std::fs::read_to_string(node.dir.join("state/versions")).unwrap_or_default();
+        let stands = |line: &str| line.starts_with("step probation") && line.contains(hash);
+        if status["probation"] != json!(null) && kept.lines().any(stands) {
+            break;
+        }
+        assert!(Instant::now() < until, "{status}");
     }
     node.kill();
     node.start();
