--- a/daemon/src/tests/change.rs
+++ b/daemon/src/tests/change.rs
@@ -115,3 +115,41 @@
     assert!(before != Some(false) && after == Some(false) && came);
     assert!(stays, "the rest of it is done once the change is in");
 }
+
+/// `cargo test --release -p asterrill-daemon cost_of_slices -- --ignored --nocapture`
+#[test]
+#[ignore = "a measurement"]
+fn cost_of_slices_of_a_change_of_all_quotas_and_methods_and_of_its_undo() {
+    let version = |quota: u64, aim: u64| {
+        let mut settings = server();
+        let method = |n: u64| json!({"Name": format!("method-{n:05}"), "AimMs": aim, "DeadlineMs": 900, "Effect": "free", "Worth": 1});
+        settings["Categories"] = (0..4_700).map(method).collect();
+        let tenant = |n: u64| json!({"Name": format!("tenant-{n:05}"), "QuotaRps": quota});
+        settings["Tenants"] = (0..49_000).map(tenant).collect();
+        content(&settings)
+    };
+    let (start, to) = (version(100, 400), version(120, 500));
+    let (hub, mut changes) = begin(&start);
+    let from = std::time::Instant::now();
+    let prepared = read(&hub, &changes, &to);
+    let read = from.elapsed();
+    for turn in 0..3 {
+        let (last, mut longest) = (std::cell::Cell::new(None), std::time::Duration::ZERO);
+        let mut pause = |_: &Hub| {
+            let now = std::time::Instant::now();
+            let since: Option<std::time::Instant> = last.replace(Some(now));
+            longest = longest.max(since.map_or(std::time::Duration::ZERO, |since| now - since));
+        };
+        let from = std::time::Instant::now();
+        let told = if turn % 2 == 0 {
+            let stage = Wanted::Stage(Box::new(prepared.clone()));
+            assert_eq!(changes.want(&hub, stage, &mut pause)["ok"], json!(true));
+            changes.want(&hub, Wanted::Apply { if_base: None, probation: None }, &mut pause)
+        } else {
+            changes.want(&hub, Wanted::Undo, &mut pause)
+        };
+        assert_eq!(told["ok"], json!(true), "{told}");
+        let (all, end) = (from.elapsed(), last.get().map(|last| last.elapsed()));
+        println!("read {read:?}; all {all:?}, the longest slice {longest:?}, the last one with what follows {end:?}");
+    }
+}
