A step is kept as it was read, not listed anew

Cause: what a step changes was listed again by comparing both versions, which took as much memory as the step itself.

--- a/daemon/src/change.rs
+++ b/daemon/src/change.rs
@@ -162,6 +162,9 @@
     };
     from(base)?;
     let mut content = running.clone();
+    // A step is kept as it was read, without what says what runs already: a list of its own for that would cost as much
+    // memory as the step again.
+    let mut steps = None;
     match what {
         What::Entries(entries) => content.entries = entries,
         What::Step(text) => {
@@ -174,6 +177,10 @@
             drop(text);
             let applied = running.entries.apply(&step.changes);
             content.entries = applied.map_err(|fault| refused(&fault.to_string()))?;
+            let mut changes = step.changes;
+            changes.retain(|entry| differs(entry, &running.entries));
+            changes.shrink_to_fit();
+            steps = Some(changes);
         }
         What::Text(text) if text.trim_start().starts_with('{') => {
             let to = asterrill_settings::read_from(text.as_bytes(), Some(&running.entries));
@@ -185,8 +192,7 @@
             content.text = text.into();
         }
     }
-    // In its shortest form, with names as they are held.
-    let step = Arc::new(running.entries.changes_to(&content.entries));
+    let step = Arc::new(steps.unwrap_or_else(|| running.entries.changes_to(&content.entries)));
     // What is booked now is a part of what there is.
     let (old, new) = (running.entries.frame(), content.entries.frame());
     let free = free_kb();
@@ -243,6 +249,16 @@
     asterrill_settings::frame(now(), seed, &content.entries).map(Some)
 }
 
+/// Whether an entry says something else than what runs.
+fn differs(entry: &Entry, running: &Entries) -> bool {
+    match entry {
+        Entry::Frame(frame) => frame != running.frame(),
+        Entry::PutMethod(name, method) => running.method(name) != Some(method),
+        Entry::PutTenant(name, rate) => running.tenant(name) != Some(*rate),
+        Entry::TakeMethod(_) | Entry::TakeTenant(_) => true,
+    }
+}
+
 /// What undoes an entry: what `before` says of its key.
 fn back(entry: &Entry, before: &Entries) -> Entry {
     match entry {
