--- /dev/null
+++ b/settings/tests/files.rs
@@ -0,0 +1,198 @@
+//! Files of a deployment, read as a stream: the same whatever their order, shared with the version that runs, and refused
+//! by the name of the key at fault.
+
+use asterrill_entries::{Change, Content, Kind};
+use asterrill_settings::{content_of, read, read_from, server, server_of, Deployment, Fault};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use serde_json::{json, Value};
+use std::sync::Arc;
+
+fn settings(tenants: &[(String, f64)]) -> Value {
+    let tenants: Vec<Value> = tenants.iter().map(|(name, q)| json!({"Name": name, "QuotaRps": q})).collect();
+    json!({
+        "Categories": [
+            {"Name": "pay", "AimMs": 500, "DeadlineMs": 1000, "Effect": "guarded", "Worth": 3, "WindowMs": 2000},
+            {"Name": "look", "AimMs": 400, "DeadlineMs": 900, "Effect": "free", "Worth": 1, "LateWorth": 0.2}],
+        "Tenants": tenants,
+        "FamilyInfo": {"NCores": 2, "RamKb": 4000, "Gauges": ["links"], "ClassSkipWorth": [0.5, 0.25, 9], "Odd": {}},
+        "Limits": {"RetryAfter": true, "MaxRetryAfterMs": 300},
+        "Safety": {"TipMultiple": 8, "RampTimeMs": 3000, "StopSendingWithinMs": 400},
+        "StepMs": 4})
+}
+
+fn whole(settings: Value) -> Value {
+    json!({"name": "n1", "listen": "127.0.0.1:1", "agent": "127.0.0.1:2", "naming": "127.0.0.1:3", "seed": "ff",
+        "stop_ms": 900, "limits": {"memory_mb": 64, "sockets": 64, "cores": 1}, "settings": settings, "later": [[{}]]})
+}
+
+/// As text, the keys of each object in any order.
+fn text(value: &Value, chance: &mut StdRng) -> String {
+    match value {
+        Value::Object(map) => {
+            let mut parts: Vec<String> =
+                map.iter().map(|(key, value)| format!("{}: {}", json!(key), text(value, chance))).collect();
+            parts.shuffle(chance);
+            format!("{{{}}}", parts.join(", "))
+        }
+        Value::Array(list) => {
+            let parts: Vec<String> = list.iter().map(|value| text(value, chance)).collect();
+            format!("[{}]", parts.join(","))
+        }
+        scalar => scalar.to_string(),
+    }
+}
+
+fn quota(chance: &mut StdRng) -> f64 {
+    [0.0, 0.5, 1e9, f64::from(chance.random_range(0..50_u32))][chance.random_range(0..4)]
+}
+
+#[test]
+fn a_file_says_the_same_in_any_order_and_shares_what_runs() {
+    for seed in 0..2_000 {
+        let chance = &mut StdRng::seed_from_u64(seed);
+        let mut tenants: Vec<(String, f64)> = (0..8).map(|i| (format!("t{i}"), quota(chance))).collect();
+        let mut running: Option<Content> = None;
+        for round in 0..3 {
+            let (at, before) = (format!("seed {seed} round {round}"), tenants.clone());
+            tenants.shuffle(chance);
+            match chance.random_range(0..4) {
+                0 => tenants.truncate(5),
+                1 => tenants.push((format!("new{round}"), quota(chance))),
+                _ => tenants[0].1 = quota(chance),
+            }
+            let told = whole(settings(&tenants));
+            let json = text(&told, chance);
+            let plain = read(&json).unwrap().content;
+            let shared = read_from(json.as_bytes(), running.as_ref()).unwrap().content;
+            let tree = content_of(&told["settings"], 64, 64).unwrap();
+            assert_eq!((&shared, shared.digest()), (&plain, plain.digest()), "{at}");
+            assert_eq!((&tree, tree.digest()), (&plain, plain.digest()), "{at}");
+            let mut found: Vec<(String, f64)> =
+                shared.tenants().map(|(name, rate)| (name.to_string(), rate)).collect();
+            tenants.sort_by(|a, b| a.0.cmp(&b.0));
+            assert_eq!(found, tenants, "{at}");
+            let skips = ["look", "pay"].map(|name| shared.method(name).unwrap().skip_share);
+            assert_eq!(skips, [0.25, 0.5], "{at}");
+            if let Some(running) = &running {
+                found.retain(|known| !before.contains(known));
+                let gone = before.iter().filter(|(name, _)| shared.tenant(name).is_none()).count();
+                assert_eq!(running.changes_to(&shared).len(), found.len() + gone, "{at}");
+            }
+            running = Some(shared);
+        }
+    }
+}
+
+#[test]
+fn a_file_that_changes_one_quota_is_one_change_and_names_are_held_once() {
+    let mut tenants: Vec<(String, f64)> = (0..500).map(|i| (format!("tenant-{i}"), 10.0)).collect();
+    let running = read(&whole(settings(&tenants)).to_string()).unwrap().content;
+    tenants[77].1 = 11.0;
+    let told = whole(settings(&tenants)).to_string();
+    let next = read_from(told.as_bytes(), Some(&running)).unwrap().content;
+    assert_eq!(running.changes_to(&next), [Change::PutTenant("tenant-77".into(), 11.0)]);
+    let pairs = running.tenants().zip(next.tenants());
+    assert!(pairs.into_iter().all(|((a, _), (b, _))| Arc::ptr_eq(a, b)));
+    assert!(running.methods().zip(next.methods()).all(|((a, _), (b, _))| Arc::ptr_eq(a, b)));
+}
+
+#[test]
+fn places_are_those_of_the_lists_or_those_of_the_names() {
+    let tenants: Vec<(String, f64)> = ["zeta", "acme"].map(|name| (name.to_string(), 5.0)).into();
+    let told = settings(&tenants);
+    let names = |list: &[Arc<str>]| list.iter().map(|name| name.to_string()).collect::<Vec<_>>();
+    let listed = server_of(0, 1, &told, None).unwrap();
+    assert_eq!(
+        (names(&listed.methods), listed.targets),
+        (vec!["pay".into(), "look".into()], vec![500_000, 400_000])
+    );
+    assert_eq!(names(&listed.tenants), ["zeta", "acme"]);
+    let content = content_of(&told, 64, 64).unwrap();
+    let named = server(0, 1, &content, None).unwrap();
+    assert_eq!(
+        (names(&named.methods), named.targets),
+        (vec!["look".into(), "pay".into()], vec![400_000, 500_000])
+    );
+    assert_eq!((names(&named.tenants), named.longest), (vec!["acme".into(), "zeta".into()], 1_000_000));
+    let bare = asterrill_settings::frame(0, 1, &content).unwrap();
+    assert_eq!(
+        (bare.longest, bare.cores, bare.gauges, bare.step),
+        (1_000_000, 2.0, vec!["links".into()], 4_000)
+    );
+    // It was not told how a cold one opens.
+    assert!(server(0, 1, &content, Some(true)).err().unwrap().to_string().contains("ColdFrom"));
+}
+
+fn fault(read: Result<Deployment, Fault>) -> String {
+    read.map(|deployment| deployment.name).unwrap_err().to_string()
+}
+
+#[test]
+fn what_is_wrong_with_an_entry_is_told_by_key_and_name() {
+    let told = |entry: &str| {
+        let json = whole(settings(&[])).to_string();
+        json.replace(r#""Tenants":[]"#, &format!(r#""Tenants":[{{"Name":"zeta","QuotaRps":1}},{entry}]"#))
+    };
+    for fine in [
+        r#"{"Name":"acme","QuotaRps":0}"#,
+        r#"{"QuotaRps":1e9,"Name":"acme","Fraction":[7]}"#,
+        r#"{"Name":"acme","QuotaRps":-0.0}"#,
+    ] {
+        assert!(read(&told(fine)).is_ok(), "{fine}");
+    }
+    for length in [1, 64, 128] {
+        let name = "n".repeat(length);
+        let made = read(&told(&format!(r#"{{"Name":"{name}","QuotaRps":3}}"#))).unwrap();
+        assert_eq!(made.content.tenant(&name), Some(3.0));
+        assert!(made.content.name(Kind::Tenant, &name).is_some());
+    }
+    let long = format!(r#"{{"Name":"{}","QuotaRps":3}}"#, "n".repeat(129));
+    for (odd, keys) in [
+        (r#"{"Name":"acme","QuotaRps":-1}"#, ["acme", "QuotaRps"]),
+        (r#"{"Name":"acme","QuotaRps":1e10}"#, ["acme", "QuotaRps is out of bounds"]),
+        (r#"{"Name":"acme","QuotaRps":1e400}"#, ["not JSON", "number out of range"]),
+        (r#"{"Name":"acme"}"#, ["acme", "QuotaRps is missing"]),
+        (r#"{"Name":"acme","QuotaRps":null}"#, ["acme", "QuotaRps"]),
+        (r#"{"Name":"zeta","QuotaRps":1}"#, ["zeta", "twice in Tenants"]),
+        (r#"{"Name":"acme","QuotaRps":1,"QuotaRps":2}"#, ["QuotaRps", "twice"]),
+        (r#"{"Name":"","QuotaRps":1}"#, ["Name", "1 to 128 bytes"]),
+        (&long, ["Name", "1 to 128 bytes"]),
+        ("7", ["Name", "missing"]),
+    ] {
+        let (json, running) = (told(odd), read(&told(r#"{"Name":"acme","QuotaRps":9}"#)).unwrap().content);
+        for why in [fault(read(&json)), fault(read_from(json.as_bytes(), Some(&running)))] {
+            assert!(keys.iter().all(|key| why.contains(key)), "{odd}: {why}");
+        }
+    }
+    for (key, part) in
+        [("limits", r#""limits":{},"#), ("settings", r#""settings":{},"#), ("seed", r#""seed":"1","#)]
+    {
+        let json = whole(settings(&[])).to_string().replacen('{', &format!("{{{part}"), 1);
+        assert!(fault(read(&json)).contains(&format!("{key} stands twice")), "{key}");
+    }
+}
+
+#[test]
+fn a_file_cut_off_anywhere_or_that_goes_on_is_refused() {
+    let json =
+        text(&whole(settings(&[("acme".into(), 5.0), ("查價".into(), 7.5)])), &mut StdRng::seed_from_u64(3));
+    let running = read(&json).unwrap().content;
+    for cut in 0..json.len() {
+        let why = fault(read_from(&json.as_bytes()[..cut], Some(&running)));
+        assert!(why.contains("not JSON"), "{cut}: {why}");
+    }
+    assert!(fault(read(&format!("{json} x"))).contains("not JSON"));
+    assert!(fault(read_from(format!("{json}{{}}").as_bytes(), None)).contains("not JSON"));
+    let broken = std::io::Error::other("the disk is on fire");
+    let reader = std::io::Read::chain(&json.as_bytes()[..200], Broken(Some(broken)));
+    assert!(fault(read_from(reader, None)).contains("the disk is on fire"));
+}
+
+struct Broken(Option<std::io::Error>);
+impl std::io::Read for Broken {
+    fn read(&mut self, _: &mut [u8]) -> std::io::Result<usize> {
+        self.0.take().map_or(Ok(0), Err)
+    }
+}
