--- a/entries/src/tests.rs
+++ b/entries/src/tests.rs
@@ -63,9 +63,19 @@
         retry_after: chance.random(),
         max_retry_after: time(chance),
         over_share: rate(chance),
+        run_factor: rate(chance),
+        kb_per_key: rate(chance),
+        linger: time(chance),
+        stop_mode: *[asterrill::StopMode::Abort, asterrill::StopMode::Suspend].choose(chance).unwrap(),
+        fresh: time(chance),
+        callers: chance.random_range(0..=GREATEST as u64),
+        tip: rate(chance),
+        ramp: time(chance),
+        heed: time(chance),
+        step: time(chance),
+        replicas: chance.random_range(0..=GREATEST as u64),
         memory_mb: chance.random_range(1..=1_048_576),
         sockets: chance.random_range(1..=1_048_576),
-        ..Frame::default()
     }
 }
 
@@ -183,7 +193,7 @@
                     let (changes, _) = step(chance, &model);
                     let changes: Vec<Change> = changes
                         .into_iter()
-                        .filter(|change| content.apply(&[change.clone()]).is_ok())
+                        .filter(|change| content.apply(std::slice::from_ref(change)).is_ok())
                         .collect();
                     model = model.step(&changes);
                     content = model.file(chance, Some(&content));
@@ -223,8 +233,8 @@
 }
 
 /// Two methods and two tenants.
-fn small() -> Content {
-    let chance = &mut StdRng::seed_from_u64(9);
+fn small(seed: u64) -> Content {
+    let chance = &mut StdRng::seed_from_u64(seed);
     let methods = ["look", "pay"].map(|name| (name.into(), method(chance)));
     let tenants = [("acme".into(), 10.0), ("zeta".into(), 20.0)];
     Content::whole(None, frame(chance), methods.into(), tenants.into()).unwrap()
@@ -232,8 +242,11 @@
 
 #[test]
 fn a_frame_in_part_leaves_the_rest_as_it_was() {
-    let running = small();
-    let merged = |text: &str| match read_step(text, &running).map(|step| step.changes) {
+    (0..20).for_each(|seed| partial(&small(seed)));
+}
+
+fn partial(running: &Content) {
+    let merged = |text: &str| match read_step(text, running).map(|step| step.changes) {
         Ok(changes) => Ok(Frame::clone(running.apply(&changes).unwrap().frame())),
         Err(why) => Err(why.to_string()),
     };
@@ -255,6 +268,7 @@
         (r#"{"FamilyInfo":{"ClassSkipWorth":[1]}}"#, "ClassSkipWorth"),
         (r#"{"FamilyInfo":{"Below":"shared","CallShare":null}}"#, "CallShare"),
         (r#"{"FamilyInfo":[]}"#, "FamilyInfo"),
+        (r#"{"FamilyInfo":{"Cold":true},"Safety":{"ColdFrom":null}}"#, "ColdFrom"),
         (r#"{"Safety":{"TipMultiple":1e12}}"#, "TipMultiple"),
         (r#"{"limits":{"sockets":0}}"#, "limits.sockets"),
         (r#"{"limits":{"memory_mb":null}}"#, "limits.memory_mb"),
@@ -268,7 +282,7 @@
 
 #[test]
 fn what_is_wrong_with_a_step_is_told_by_line_and_key() {
-    let running = small();
+    let running = small(9);
     let long = format!(r#"{{"take":"tenant","Name":"{}"}}"#, "n".repeat(NAME + 1));
     let look = r#"{"put":"method","Name":"look","AimMs":1,"DeadlineMs":2,"Effect":"free","Worth":1}"#;
     let twice =
@@ -282,6 +296,7 @@
         (r#"{"put":"tenant","Name":"acme"}"#, 1, "acme: field QuotaRps"),
         (r#"{"put":"tenant","Name":"acme","QuotaRps":1,"QuotaRps":2}"#, 1, "QuotaRps stands twice"),
         (r#"{"put":"tenant","Name":"acme","QuotaRps":1,"Worth":2}"#, 1, "Worth is not known"),
+        (r#"{"put":"tenant","Name":"acme","QuotaRps":1,"Quota":2}"#, 1, "Quota is not known"),
         (r#"{"put":"tenant","Name":"","QuotaRps":1}"#, 1, "1 to 128 bytes"),
         (r#"{"put":"planet","Name":"acme"}"#, 1, "put planet"),
         (r#"{"put":"tenant","take":"tenant","Name":"acme"}"#, 1, "a line puts"),
@@ -314,7 +329,7 @@
 
 #[test]
 fn every_list_has_its_bound_and_a_version_keeps_a_method() {
-    let running = small();
+    let running = small(9);
     let puts = |n: usize| (0..n).map(|i| Change::PutTenant(format!("t{i}").as_str().into(), 1.0)).collect();
     let mut most: Vec<Change> = puts(TENANTS - 2);
     let full = running.apply(&most).unwrap();
@@ -335,7 +350,7 @@
 
 #[test]
 fn a_whole_text_without_frame_methods_or_with_another_hash_is_refused() {
-    let (running, mut text) = (small(), String::new());
+    let (running, mut text) = (small(9), String::new());
     write_content(&running, &mut text).unwrap();
     let hash = format!("{{\"hash\":\"{}\"}}\n{text}", running.digest());
     assert_eq!(read_content(&hash).as_ref(), Ok(&running));
@@ -357,7 +372,8 @@
     let chance = &mut StdRng::seed_from_u64(4);
     let methods = (0..4_700).map(|i| (format!("m{i}").as_str().into(), method(chance)));
     let tenants = (0..49_000).map(|i| (format!("t{i}").as_str().into(), 10.0));
-    let (methods, tenants): (Vec<(Name, Method)>, Vec<(Name, f64)>) = (methods.collect(), tenants.collect());
+    let methods: Vec<(Name, Method)> = methods.collect();
+    let tenants: Vec<(Name, f64)> = tenants.collect();
     let frame = frame(chance);
     let made = |running: Option<&Content>, odd: f64| {
         let mut tenants = tenants.clone();
--- a/settings/tests/files.rs
+++ b/settings/tests/files.rs
@@ -2,7 +2,7 @@
 //! by the name of the key at fault.
 
 use asterrill_entries::{Change, Content, Kind};
-use asterrill_settings::{content_of, read, read_from, server, server_of, Deployment, Fault};
+use asterrill_settings::{content_of, read, read_from, server, server_of, Deployment, Fault, FILE};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -121,6 +121,9 @@
         (bare.longest, bare.cores, bare.gauges, bare.step),
         (1_000_000, 2.0, vec!["links".into()], 4_000)
     );
+    let mut cold = whole(told);
+    cold["settings"]["FamilyInfo"]["Cold"] = json!(true);
+    assert!(fault(read(&cold.to_string())).contains("ColdFrom"));
     // It was not told how a cold one opens.
     assert!(server(0, 1, &content, Some(true)).err().unwrap().to_string().contains("ColdFrom"));
 }
@@ -185,6 +188,10 @@
     }
     assert!(fault(read(&format!("{json} x"))).contains("not JSON"));
     assert!(fault(read_from(format!("{json}{{}}").as_bytes(), None)).contains("not JSON"));
+    let long = format!("{json}{}", " ".repeat(FILE as usize));
+    assert!([read(&long), read_from(long.as_bytes(), None)]
+        .into_iter()
+        .all(|read| fault(read).contains("bound FILE")));
     let broken = std::io::Error::other("the disk is on fire");
     let reader = std::io::Read::chain(&json.as_bytes()[..200], Broken(Some(broken)));
     assert!(fault(read_from(reader, None)).contains("the disk is on fire"));
