--- a/daemon/src/tests/change.rs
+++ b/daemon/src/tests/change.rs
@@ -95,6 +95,20 @@
     assert!(knows(&hub, "guest 3"));
 }
 
+#[test]
+fn a_change_that_was_read_against_a_version_that_runs_no_more_is_refused_and_nothing_is_staged() {
+    let (hub, mut changes) = begin(&guests(0..3));
+    let late = read(&hub, &changes, &guests(0..5));
+    let prepared = read(&hub, &changes, &guests(0..4));
+    let apply = Wanted::Apply { if_base: None, probation: None };
+    for wanted in [Wanted::Stage(Box::new(prepared)), apply, Wanted::Settle] {
+        assert_eq!(changes.want(&hub, wanted, &mut |_| ())["ok"], json!(true));
+    }
+    let told = changes.want(&hub, Wanted::Stage(Box::new(late)), &mut |_| ());
+    assert!(told["error"].as_str().is_some_and(|why| why.contains("version 2 came into force")), "{told}");
+    assert_eq!(changes.want(&hub, Wanted::Status, &mut |_| ())["staged"], json!(null));
+}
+
 #[test]
 fn a_notice_to_leave_is_told_between_two_slices() {
     one_worker().unwrap();
