--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -1,16 +1,19 @@
 //! The core against a stand-in for the agent, the layer below and the sidecars: seeded random runs with the
 //! rules checked after every step, and plain cases.
 
-use crate::core::Core;
+use crate::core::{Core, Flip};
 use crate::wire::{ConnId, LinkId, Place, Wire};
 use asterrill::{CallEnd, CallerId, Final, RpcId, RunEnd, Us};
+use asterrill_entries::{Change as Entry, Content as Entries, Kind};
 use asterrill_net::Pool;
 use asterrill_protocol::agent::NoticeId;
 use asterrill_protocol::frames::{Ask, StreamId};
+use asterrill_settings::Server;
 use quickcheck::{Gen, QuickCheck};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod change;
 mod hub;
 
 const MS: Us = 1_000;
@@ -32,6 +35,31 @@
         "StepMs": 4})
 }
 
+/// The entries of such settings.
+pub(crate) fn content(settings: &Value) -> Entries {
+    let nowhere = "127.0.0.1:1";
+    let whole = json!({"name": "n1", "listen": nowhere, "agent": nowhere, "naming": nowhere, "seed": "1",
+        "stop_ms": 900, "limits": {"memory_mb": 64, "sockets": 64}, "settings": settings});
+    asterrill_settings::read(&whole.to_string()).unwrap().content
+}
+pub(crate) fn made(at: Us, seed: u64, settings: &Value, cold: Option<bool>) -> Server {
+    asterrill_settings::server(at, seed, &content(settings), cold).unwrap()
+}
+/// What turns over to a version once its entries are in.
+fn flip(at: Us, number: u64, to: &Entries) -> Flip {
+    let bare = asterrill_settings::frame(at, 1, to).unwrap();
+    let longest = to.methods().map(|(_, method)| method.latency_target).max().unwrap_or(0);
+    let tells_tenants = to.count(Kind::Tenant) > 0;
+    Flip { number, bare: Some(bare), longest, queues: Vec::new(), tells_tenants }
+}
+/// A change from one version to another, whole.
+fn change(core: &mut Core, at: Us, from: &Entries, to: &Entries, number: u64, out: &mut Out) {
+    let step = from.changes_to(to);
+    core.could_take(&step, &[]).unwrap();
+    core.stage(&step);
+    core.change(at, flip(at, number, to), out);
+}
+
 enum Told {
     Ended(RpcId, RunEnd, Vec<u8>),
     CallNeeded(RpcId, Vec<u8>),
@@ -193,6 +221,9 @@
     next: u64,
     killed: Option<Us>,
     version: u64,
+    entries: Entries,
+    /// A version that is going in, and what of it is still to be staged.
+    coming: Option<(Entries, VecDeque<Entry>)>,
 }
 
 impl World {
@@ -200,13 +231,27 @@
         World::of(seed, &server())
     }
     fn of(seed: u64, settings: &Value) -> World {
-        let made = asterrill_settings::server(START, seed, settings, None).unwrap();
-        let mut core = Core::new(START, made, Pool::new(500), 4);
+        let mut core = Core::new(START, made(START, seed, settings, None), Pool::new(500), 4);
         let mut out = Out::default();
         core.start(START, &mut out);
         core.agent_link(START);
         core.agent_up(START, None, &mut out);
-        World { core, out, now: START, asks: BTreeMap::new(), read: 0, next: 0, killed: None, version: 1 }
+        World::with(core, out, START, settings)
+    }
+    fn with(core: Core, out: Out, now: Us, settings: &Value) -> World {
+        let entries = content(settings);
+        World {
+            core,
+            out,
+            now,
+            asks: BTreeMap::new(),
+            read: 0,
+            next: 0,
+            killed: None,
+            version: 1,
+            entries,
+            coming: None,
+        }
     }
 
     /// Tries of one read have one key and one body.
@@ -342,8 +387,16 @@
         self.core.gone(self.now, place, &mut self.out);
     }
 
-    /// Another version comes into force: methods in another order, one less, other memory and cores.
+    /// Another version comes into force: methods in another order, one less, other memory and cores. What was coming
+    /// in comes into force first.
     fn change(&mut self, n: usize) {
+        self.begin_change(n);
+        self.go_on_changing(usize::MAX);
+    }
+
+    /// Another version begins to come in; one that was coming in is in force before that.
+    fn begin_change(&mut self, n: usize) {
+        self.go_on_changing(usize::MAX);
         let mut settings = server();
         let methods = settings["Categories"].as_array_mut().unwrap();
         match n % 4 {
@@ -365,9 +418,28 @@
             let acme = json!({"Name": "acme", "QuotaRps": 1_000_000});
             settings["Tenants"] = if n % 10 == 4 { json!([other, acme]) } else { json!([other]) };
         }
+        let to = content(&settings);
+        let step = self.entries.changes_to(&to);
+        self.core.could_take(&step, &[]).unwrap();
+        self.coming = Some((to, step.into()));
+    }
+
+    /// So many entries of the version that is coming in go in beside what is in force; with the last of them it turns
+    /// over, whole.
+    fn go_on_changing(&mut self, entries: usize) {
+        let Some((to, mut step)) = self.coming.take() else { return };
+        let slice: Vec<Entry> = step.drain(..entries.min(step.len())).collect();
+        self.core.stage(&slice);
+        if !step.is_empty() {
+            self.coming = Some((to, step));
+            return;
+        }
         self.version += 1;
-        let made = asterrill_settings::server(self.now, 1, &settings, None).unwrap();
-        self.core.change(self.now, made, Vec::new(), self.version, &mut self.out).unwrap();
+        self.core.change(self.now, flip(self.now, self.version, &to), &mut self.out);
+        self.entries = to;
+        if self.version.is_multiple_of(2) {
+            self.core.settled();
+        }
         let _ = self.core.served();
     }
 
@@ -401,6 +473,8 @@
             12 if n.is_multiple_of(3) => self.out.deaf = true,
             12 => self.link_up(),
             11 if n % 4 == 1 => self.change(n / 4),
+            11 if n % 4 == 2 => self.begin_change(n / 4),
+            11 => self.go_on_changing(1 + n % 2),
             13 if n.is_multiple_of(8) => {
                 let link = LinkId(n / 8 % 4);
                 self.out.called.retain(|_, on| *on != link);
@@ -888,7 +962,7 @@
 #[test]
 fn a_notice_to_leave_before_the_agent_greets_counts_from_when_it_came() {
     for greets in [50, 250] {
-        let made = |at| asterrill_settings::server(at, 1, &server(), Some(true)).unwrap();
+        let made = |at| made(at, 1, &server(), Some(true));
         let (mut core, mut out) = (Core::new(START, made(START), Pool::new(500), 4), Out::default());
         core.start(START, &mut out);
         core.drain(START, 1_000 * MS, &mut out);
@@ -897,8 +971,7 @@
         // The agent started before the notice, or after it.
         core.agent_up(up, Some(made(up - 100 * MS)), &mut out);
         assert!(!out.serving.contains(&true), "it never says that it takes work: {:?}", out.serving);
-        let mut w =
-            World { core, out, now: up, asks: BTreeMap::new(), read: 0, next: 0, killed: None, version: 1 };
+        let mut w = World::with(core, out, up, &server());
         w.ask(1, "book", 900 * MS, None);
         assert_eq!(w.out.runs.len(), 1, "within the grace it is run");
         w.pass(START + 420 * MS - w.now);
@@ -943,15 +1016,14 @@
 
 #[test]
 fn a_change_before_the_agent_is_up_and_one_while_its_link_is_away_are_kept() {
-    let made = asterrill_settings::server(START, 1, &server(), None).unwrap();
-    let (mut core, mut out) = (Core::new(START, made, Pool::new(500), 4), Out::default());
+    let first = made(START, 1, &server(), None);
+    let (mut core, mut out) = (Core::new(START, first, Pool::new(500), 4), Out::default());
     core.start(START, &mut out);
     let mut settings = server();
     settings["Categories"].as_array_mut().unwrap().pop();
-    let made = asterrill_settings::server(START, 1, &settings, None).unwrap();
-    core.change(START, made, Vec::new(), 2, &mut out).unwrap();
+    change(&mut core, START, &content(&server()), &content(&settings), 2, &mut out);
     // The agent's greeting brings a module made anew from the first settings: too late for those.
-    let stale = asterrill_settings::server(START, 1, &server(), Some(true)).unwrap();
+    let stale = made(START, 1, &server(), Some(true));
     core.agent_link(START);
     core.agent_up(START, Some(stale), &mut out);
     let place = Place { conn: ConnId(1), stream: StreamId(1) };
@@ -976,8 +1048,8 @@
 fn cost_of_a_change_with_1000_in_hand_and_of_the_watch_for_an_rpc() {
     let mut settings = server();
     (settings["FamilyInfo"]["RamKb"], settings["FamilyInfo"]["NCores"]) = (json!(1_000_000), json!(1_500));
-    let made = |settings: &Value| asterrill_settings::server(START, 1, settings, None).unwrap();
-    let (mut core, mut out) = (Core::new(START, made(&settings), Pool::new(4_000), 4), Out::default());
+    let first = made(START, 1, &settings, None);
+    let (mut core, mut out) = (Core::new(START, first, Pool::new(4_000), 4), Out::default());
     core.start(START, &mut out);
     core.agent_link(START);
     core.agent_up(START, None, &mut out);
@@ -990,18 +1062,20 @@
         core.rpc_read(START, place, ask, b"", &mut out);
     }
     let in_hand = core.open();
+    let mut running = content(&settings);
     let mut spans: Vec<u128> = (0..101)
         .map(|n| {
-            settings["FamilyInfo"]["NCores"] = json!(1_500 + n % 2);
-            let fresh = made(&settings);
+            settings["FamilyInfo"]["NCores"] = json!(1_500 + (n + 1) % 2);
+            let to = content(&settings);
             let start = std::time::Instant::now();
-            core.change(START + n * MS, fresh, Vec::new(), n + 2, &mut out).unwrap();
+            change(&mut core, START + n * MS, &running, &to, n + 2, &mut out);
+            running = to;
             start.elapsed().as_nanos()
         })
         .collect();
     spans.sort_unstable();
     let mut service = crate::service::Service::new(0, vec![400 * MS, 400 * MS]);
-    let names = ["look".to_string(), "book".to_string()];
+    let names: [asterrill_entries::Name; 2] = ["look".into(), "book".into()];
     let start = std::time::Instant::now();
     for n in 0..1_000_000_u64 {
         let method = asterrill::MethodId(n as usize % 2);
@@ -1009,7 +1083,8 @@
         service
             .answered(asterrill_engine::Served { method, took: n % 900_000, spoilt: n % 50 == 0 }, n % 3 > 0);
         if n % 20 == 0 {
-            std::hint::black_box(service.take(&names, |_| 5.0)); // 200 a second, ten looks
+            // 200 a second, ten looks
+            std::hint::black_box(service.take(|method| names.get(method.0).cloned(), |_| 5.0));
         }
     }
     let each = start.elapsed().as_nanos() / 1_000_000;
@@ -1034,15 +1109,14 @@
         Returning::new(now, Start { name, settings, cores, memory_mb, moment, terms, kept, seed, lasting })
     }
     fn world(seed: u64, kept: Option<Learned>) -> World {
-        let made = asterrill_settings::server(START, seed, &server(), None).unwrap();
-        let mut core = Core::new(START, made, Pool::new(500), 4);
+        let mut core = Core::new(START, made(START, seed, &server(), None), Pool::new(500), 4);
         let mut out = Out::default();
         core.start(START, &mut out);
         core.come_back(START, start(START, kept), &mut out);
         core.agent_link(START);
         core.agent_up(START, None, &mut out);
         core.greeted(START, false, &mut out);
-        World { core, out, now: START, asks: BTreeMap::new(), read: 0, next: 0, killed: None, version: 1 }
+        World::with(core, out, START, &server())
     }
     fn serve(w: &mut World, rpcs: u64) {
         for _ in 0..rpcs {
@@ -1077,7 +1151,8 @@
         assert!(kept.methods.iter().all(|m| m.name != "book"), "of that nothing was learned");
         let again = Learned::read(&kept.write()).unwrap();
         let w = world(2, Some(again));
-        let recalled = w.core.learned().costs[0];
+        // Places are in the order of names: "book" stands before it.
+        let recalled = w.core.learned().costs[1];
         assert!((recalled.1 - look.mean).abs() < 1.0 && recalled.2 <= 8.0, "{recalled:?} of {look:?}");
     }
 
@@ -1163,3 +1238,128 @@
     assert_eq!(turned(&mut world), [true, true, false], "a word may have been taken back");
     assert_eq!((world.core.counted().barred, world.out.faults.len()), (5, 0));
 }
+
+/// A version with these tenants, beside what `server` says.
+fn with_tenants(names: &[String]) -> Entries {
+    let mut settings = server();
+    settings["Tenants"] = names.iter().map(|name| json!({"Name": name, "QuotaRps": 1_000_000})).collect();
+    content(&settings)
+}
+
+#[test]
+fn entries_that_are_staged_show_nowhere_until_all_of_them_are_in_force() {
+    let mut w = World::new(41);
+    let asks = |w: &mut World, method: &str, tenant: &str| {
+        w.next += 1;
+        let (id, place) = (RpcId::of(w.next), Place { conn: ConnId(w.next), stream: StreamId(1) });
+        let (method, tenant, caller) = (method.to_string(), tenant.to_string(), CallerId(1));
+        let (born, due) = (w.now, Some(w.now + 800 * MS));
+        w.out.bodies.insert(id, b"body".to_vec());
+        let ask = Ask { id, method, tenant, caller, born, due, size_kb: 1.0, key: None };
+        w.core.rpc_read(w.now, place, ask, b"body", &mut w.out);
+        // It runs, waits, or is pushed back, where it is known.
+        w.out.answers.get(&place).is_none_or(|(what, _)| *what != "aborted")
+    };
+    let under = |w: &mut World| {
+        [("look", "acme"), ("book", "acme"), ("look", "nile"), ("sell", "acme")].map(|(m, t)| asks(w, m, t))
+    };
+    let before = [true, true, false, false];
+    assert_eq!(under(&mut w), before);
+    let mut settings = server();
+    settings["Categories"][1]["Name"] = json!("sell");
+    settings["Tenants"] = json!([{"Name": "nile", "QuotaRps": 1_000_000}]);
+    let to = content(&settings);
+    let step = w.entries.changes_to(&to);
+    assert_eq!(step.len(), 4, "one put and one taken of each kind");
+    for entry in &step {
+        w.core.stage(std::slice::from_ref(entry));
+        assert_eq!(under(&mut w), before, "after {entry:?}");
+    }
+    w.core.change(w.now, flip(w.now, 2, &to), &mut w.out);
+    assert_eq!(under(&mut w), [false, false, true, false], "acme is gone, and so is book");
+    assert!(asks(&mut w, "sell", "nile"));
+    // And back, by the same entries turned round.
+    let back = to.changes_to(&w.entries);
+    w.core.stage(&back);
+    w.core.change(w.now, flip(w.now, 3, &w.entries), &mut w.out);
+    assert_eq!(under(&mut w), before);
+    assert_eq!(w.core.counted().half_applied, 0);
+}
+
+#[test]
+fn a_storm_of_tenants_that_come_and_go_takes_no_more_places_than_there_are_at_a_time() {
+    let mut w = World::new(42);
+    let mut running = w.entries.clone();
+    for n in 0..300_u64 {
+        // One comes and the one before goes; each third change is undone instead of settled.
+        let to = with_tenants(&["acme".to_string(), format!("guest {n}")]);
+        change(&mut w.core, w.now, &running, &to, 2 * n + 2, &mut w.out);
+        if n % 3 == 0 {
+            change(&mut w.core, w.now, &to, &running, 2 * n + 3, &mut w.out);
+        } else {
+            running = to;
+        }
+        w.core.settled();
+        assert!(w.core.places() <= 3, "{} places after {n} changes", w.core.places());
+    }
+    let place = w.ask(1, "look", 900 * MS, None);
+    assert!(w.out.answers.get(&place).is_none_or(|(what, _)| *what != "aborted"), "acme is where it was");
+}
+
+#[test]
+fn as_many_methods_as_a_version_may_hold_have_places_and_one_more_is_refused_before_anything_is_staged() {
+    let many = asterrill_entries::METHODS as u64;
+    let of = |names: &mut dyn Iterator<Item = u64>| {
+        let mut settings = server();
+        let method = |n: u64| json!({"Name": format!("m{n}"), "AimMs": 400, "DeadlineMs": 900, "Effect": "free", "Worth": 1});
+        settings["Categories"] = names.map(method).collect();
+        content(&settings)
+    };
+    let (half, whole) = (of(&mut (0..many / 2)), of(&mut (0..many)));
+    let first = asterrill_settings::server(START, 1, &half, None).unwrap();
+    let (mut core, mut out) = (Core::new(START, first, Pool::new(50), 4), Out::default());
+    change(&mut core, START, &half, &whole, 2, &mut out);
+    // Any figure of those that are known may change, however many.
+    change(&mut core, START, &whole, &half, 3, &mut out);
+    change(&mut core, START, &half, &whole, 4, &mut out);
+    let other = of(&mut (1..many + 1));
+    let told = core.could_take(&whole.changes_to(&other), &[]).unwrap_err();
+    assert!(told.contains("more than 20000 methods since the start"), "{told}");
+}
+
+#[test]
+fn a_look_at_service_tells_of_what_was_asked_for_only_and_the_minute_of_what_was_read_in_it() {
+    let names: Vec<asterrill_entries::Name> = (0..5_000).map(|n| format!("m{n}").into()).collect();
+    let mut service = crate::service::Service::new(0, vec![400 * MS; names.len()]);
+    let asked = std::cell::Cell::new(0);
+    let name = |method: asterrill::MethodId| {
+        asked.set(asked.get() + 1);
+        names.get(method.0).cloned()
+    };
+    let of = asterrill::MethodId;
+    for _ in 0..3 {
+        service.read(of(7));
+        service.read(of(4_000));
+        service.answered(asterrill_engine::Served { method: of(7), took: 1, spoilt: false }, true);
+    }
+    let sample = service.take(name, |_| 2.0);
+    assert_eq!(asked.get(), 2, "names that are looked at");
+    let counted = |n: &str| sample.methods[n];
+    assert_eq!((counted("m7").asked, counted("m7").in_time, counted("m7").work), (3.0, 3.0, 6.0));
+    assert_eq!((counted("m4000").asked, counted("m4000").work), (0.0, 6.0));
+    assert!(service.take(name, |_| 2.0).methods.is_empty() && asked.get() == 2);
+    service.answered(asterrill_engine::Served { method: of(4_000), took: 1, spoilt: true }, false);
+    assert_eq!(service.take(name, |_| 2.0).methods["m4000"].spoilt, 1.0);
+    asked.set(0);
+    service.pass(30_000 * MS);
+    service.read(of(9));
+    let seen = service.seen(31_000 * MS, name, |_| 2.0);
+    assert_eq!((asked.get(), seen.methods["m7"], seen.methods["m9"]), (3, (3.0, 2.0), (1.0, 2.0)));
+    service.pass(60_000 * MS);
+    let seen = service.seen(61_000 * MS, name, |_| 2.0);
+    assert_eq!(
+        seen.methods.keys().map(|name| &**name).collect::<Vec<_>>(),
+        ["m9"],
+        "the rest is over a minute ago"
+    );
+}
