--- a/lab/src/scale/config.rs
+++ b/lab/src/scale/config.rs
@@ -18,17 +18,19 @@
 #[rustfmt::skip]
 const FIELDS: &[&str] = &[
     "start_ms", "rss_kb", "rss_kb_small", "rss_kb_after", "rss_kb_after_reloads", "rss_kb_end", "peak_kb",
-    "peak_kb_after_reloads", "peak_kb_start", "file_bytes", "changes", "changes_by", "change_ms_p50", "change_ms_max",
-    "cpu_ms_per_change", "reloads", "reload_ms_p50", "reload_ms_max", "cpu_ms_per_reload", "reloads_refused",
-    "cpu_ms_per_refused_reload", "cpu_ms_all", "cpu_ms_all_step", "cpu_ms_all_file", "all_ms_step",
-    "all_ms_file", "all_step_error", "cpu_ms_undo", "cpu_ms_undo_all", "undo_ms", "undo_all_ms",
-    "undo_file_ms", "gap_ms_max", "gap_ms_max_quiet", "gap_ms_max_changes", "gap_ms_max_reloads",
-    "gap_ms_max_all", "gap_ms_max_all_step", "gap_ms_max_all_file", "gap_ms_floor", "gap_ms_floor_quiet", "gap_ms_floor_changes",
-    "gap_ms_floor_reloads", "gap_ms_floor_all", "gap_ms_floor_all_step", "gap_ms_floor_all_file", "added_ms_p50", "added_ms_p99", "added_ms_p50_quiet", "added_ms_p99_quiet",
-    "added_ms_p50_changes", "added_ms_p99_changes", "added_ms_p99_reloads", "added_ms_p99_all", "added_ms_p99_all_step", "added_ms_p99_all_file",
-    "bytes_per_change", "bytes_per_change_disk", "entry_bytes", "half_applied", "older_after_newer", "pairs",
-    "refused", "refused_why", "no_final_answer", "answered_twice", "left_processes", "asked", "ok", "pushed_back", "aborted",
-    "quiet_cpu_ms_per_s", "load",
+    "peak_kb_after_reloads", "peak_kb_start", "file_bytes", "changes", "changes_by", "change_ms_p50",
+    "change_ms_max", "cpu_ms_per_change", "reloads", "reload_ms_p50", "reload_ms_max", "cpu_ms_per_reload",
+    "reloads_refused", "cpu_ms_per_refused_reload", "cpu_ms_all", "cpu_ms_all_step", "cpu_ms_all_file",
+    "all_ms_step", "all_ms_file", "all_step_error", "cpu_ms_undo", "cpu_ms_undo_all", "undo_ms",
+    "undo_all_ms", "undo_file_ms", "gap_ms_max", "gap_ms_max_quiet", "gap_ms_max_changes",
+    "gap_ms_max_reloads", "gap_ms_max_all", "gap_ms_max_all_step", "gap_ms_max_all_file", "gap_ms_floor",
+    "gap_ms_floor_quiet", "gap_ms_floor_changes", "gap_ms_floor_reloads", "gap_ms_floor_all",
+    "gap_ms_floor_all_step", "gap_ms_floor_all_file", "added_ms_p50", "added_ms_p99", "added_ms_p50_quiet",
+    "added_ms_p99_quiet", "added_ms_p50_changes", "added_ms_p99_changes", "added_ms_p99_reloads",
+    "added_ms_p99_all", "added_ms_p99_all_step", "added_ms_p99_all_file", "bytes_per_change",
+    "bytes_per_change_disk", "entry_bytes", "half_applied", "older_after_newer", "pairs", "refused",
+    "refused_why", "no_final_answer", "answered_twice", "left_processes", "asked", "ok", "pushed_back",
+    "aborted", "quiet_cpu_ms_per_s", "load",
 ];
 
 // The spans under which RPCs and gaps are counted.
@@ -631,11 +633,15 @@
         let before = self.running()?;
         let good = self.rig.text(&self.site);
         let (refused, why) = (self.refused, self.why.clone());
-        let name = tenant_name(0);
+        let put = |name: &str, rate: i64| {
+            let entry = json!({"put": "tenant", "Name": name, "QuotaRps": rate});
+            json!({"do": "stage", "step": entry.to_string()})
+        };
+        let unknown = json!({"take": "method", "Name": method_name(99_999)}).to_string();
         let mistakes = [
-            json!({"do": "stage", "step": json!({"put": "tenant", "Name": name, "QuotaRps": -1}).to_string()}),
-            json!({"do": "stage", "step": json!({"put": "tenant", "Name": "x".repeat(129), "QuotaRps": 1}).to_string()}),
-            json!({"do": "stage", "step": json!({"take": "method", "Name": method_name(99_999)}).to_string()}),
+            put(&tenant_name(0), -1),
+            put(&"x".repeat(129), 1),
+            json!({"do": "stage", "step": unknown}),
             json!({"do": "stage", "text": "{\"name\": 1}"}),
         ];
         for mistake in mistakes {
