--- a/lab/src/scale/config.rs
+++ b/lab/src/scale/config.rs
@@ -92,6 +92,8 @@
     report: &'a mut Report,
     chance: StdRng,
     quick: bool,
+    /// It is another build that is played, which may know no steps.
+    other: bool,
     /// Of what was changed so far: makes each version another.
     changed: u64,
     refused: u64,
@@ -304,6 +306,7 @@
         report: &mut report,
         chance: StdRng::seed_from_u64(seed),
         quick: to.quick,
+        other: program.is_some(),
         changed: 0,
         refused: 0,
         why: Vec::new(),
@@ -390,7 +393,10 @@
     report.set("ok", json!(whole.ok));
     report.set("pushed_back", json!(whole.pushed_back));
     report.set("aborted", json!(whole.aborted));
-    report.rule("hardly anything was answered ok", whole.ok * 2 >= whole.asked);
+    // A build that takes whole texts stands still for most of a second at full size, and pushes back what comes then.
+    let by_steps = report.get("changes_by") == Some(&json!("step"));
+    let (least, of) = if by_steps { (9, 10) } else { (1, 2) };
+    report.rule("hardly anything was answered ok", whole.ok * of >= whole.asked * least);
 }
 
 impl Play<'_> {
@@ -447,6 +453,8 @@
         load.phase(WARM);
         disk.look();
         self.report.set("changes", json!(done));
+        let by_steps = spoken && done > 0;
+        self.report.rule("this build took no change as a step", by_steps || self.other || changes == 0);
         if done > 0 {
             let each = |n: f64| rounded(n / f64::from(done));
             let cpu = beyond(&after, &before, quiet);
