Lab: capacity works docs/CAPACITY.md and its plots out from measured slopes

Need: what the fleet ahead costs has to stand on one page, with the budget beside each line, and the page must not drift from what was measured. Change: docs/capacity/slopes.json holds figures against sizes, budgets.json the fleet's sizes, rates, budgets, bounds and the lines of the page; `asterrill-lab capacity` fills the tables in and draws memory and CPU against size, `--check` ends with 1 if they disagree, `--take FILE --as before|after` takes up what scale-config and scale-members print. A value is read off where a point is at the fleet's size, else it lies on the line of least squares if no point is off it by more than a tenth of the greatest, else it is that of the worst pair, and the row says which. Measured: nothing yet; rows without points say so.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod load;
 mod report;
+mod scale;
 mod world;
 
 use clap::{Parser, Subcommand};
@@ -50,6 +51,8 @@
     /// Messages, in scenarios that count them
     #[arg(long, global = true)]
     messages: Option<u64>,
+    #[command(flatten)]
+    capacity: scale::capacity::Options,
 }
 
 #[derive(Subcommand, Clone, Copy, Debug)]
@@ -94,6 +97,8 @@
     MembersCpu,
     /// CPU of a framed RPC, this build and another in turns
     FramedCpu,
+    /// Works docs/CAPACITY.md out from what was measured
+    Capacity,
 }
 
 impl Scenario {
@@ -119,6 +124,7 @@
             Scenario::ConfigGood => "config-good",
             Scenario::ConfigStorm => "config-storm",
             Scenario::ConfigCrash => "config-crash",
+            Scenario::Capacity => "capacity",
         }
     }
     fn play(self, report: &mut Report, to: &Arguments) -> Result<(), Fault> {
@@ -163,6 +169,7 @@
                 fleet::members::cpu(report, to.seed, to.nodes.clamp(3, 40), span(4), to.rate)
             }
             Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), to.rate, to.other.as_deref()),
+            Scenario::Capacity => scale::capacity::scenario(report, &to.capacity),
         }
     }
 }
--- /dev/null
+++ b/lab/src/scale/capacity/budgets.rs
@@ -0,0 +1,218 @@
+//! `docs/capacity/budgets.json`: the fleet's sizes, how often things happen, what may be spent, and the page's lines.
+
+use super::slopes::{Basis, Line, Role, Slope, Slopes};
+use super::{slopes, Wrong};
+use serde::Deserialize;
+use std::path::Path;
+
+pub const FORMAT: u64 = 1;
+
+/// One of the fleet's sizes, which slopes are measured against.
+#[derive(Deserialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Size {
+    pub id: String,
+    pub what: String,
+    pub value: f64,
+}
+
+/// How often something happens: `value` times in `over` seconds.
+#[derive(Deserialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Rate {
+    pub id: String,
+    pub what: String,
+    pub value: f64,
+    pub over: f64,
+}
+
+#[derive(Deserialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    pub id: String,
+    pub what: String,
+    pub most: f64,
+    pub unit: String,
+    /// Who says so.
+    pub from: String,
+}
+
+/// On what day.
+#[derive(Deserialize, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Day {
+    #[serde(rename = "ordinary")]
+    Ordinary,
+    #[serde(rename = "worst")]
+    Worst,
+    #[serde(rename = "cut")]
+    Cut,
+}
+
+/// A figure at the fleet's size, as often as the rates say.
+#[derive(Deserialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Term {
+    pub slope: String,
+    #[serde(default)]
+    pub times: Vec<String>,
+}
+
+/// One line of the page.
+#[derive(Deserialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    pub role: Role,
+    pub day: Day,
+    /// Which worst minute: a zone back, a change of everything, ...
+    #[serde(default)]
+    pub when: String,
+    /// state, messages, CPU, memory, descriptors, disk, time
+    pub part: String,
+    pub what: String,
+    #[serde(default)]
+    pub unit: String,
+    /// What it is the sum of; empty where nothing is known.
+    pub terms: Vec<Term>,
+    /// The same of the build before, where its way is another.
+    #[serde(default)]
+    pub before: Vec<Term>,
+    #[serde(default)]
+    pub budget: Option<String>,
+    pub carried: String,
+}
+
+/// A bound of our own that this size meets.
+#[derive(Deserialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Bound {
+    pub what: String,
+    pub place: String,
+    /// In the build before, and now.
+    pub before: f64,
+    pub bound: f64,
+    pub unit: String,
+    /// At the fleet's size: a number, or that of a slope.
+    #[serde(default)]
+    pub needed: Option<f64>,
+    #[serde(default)]
+    pub slope: Option<String>,
+    pub carried: String,
+}
+
+#[derive(Deserialize, Clone, Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Budgets {
+    format: u64,
+    pub sizes: Vec<Size>,
+    pub rates: Vec<Rate>,
+    pub budgets: Vec<Budget>,
+    pub bounds: Vec<Bound>,
+    pub lines: Vec<Entry>,
+}
+
+/// What a line of the page says.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Figure {
+    pub value: f64,
+    pub basis: Basis,
+    /// Slopes without points: the value is that of the rest.
+    pub missing: Vec<String>,
+}
+
+/// Which build a figure is of.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Build {
+    Now,
+    Before,
+}
+
+impl Budgets {
+    /// Reads the text of `path`; names that lead nowhere are told with the line at fault.
+    pub fn parse(path: &Path, text: &str, slopes: &Slopes) -> Result<Budgets, Wrong> {
+        let all: Budgets = super::parse(path, text, FORMAT, |all: &Budgets| all.format)?;
+        for slope in &slopes.slopes {
+            let Some(axis) = &slope.axis else { continue };
+            if all.size(axis).is_none() {
+                let why = format!("no size in {} is called {axis:?}", path.display());
+                return Err(Wrong::Row { path: "slopes.json".into(), row: slope.id.clone(), why });
+            }
+        }
+        for line in &all.lines {
+            let wrong = |why| Wrong::Row { path: path.into(), row: line.what.clone(), why };
+            for term in line.terms.iter().chain(&line.before) {
+                if slopes.get(&term.slope).is_none() {
+                    return Err(wrong(format!("no slope is called {:?}", term.slope)));
+                }
+                if let Some(rate) = term.times.iter().find(|rate| all.rate(rate).is_none()) {
+                    return Err(wrong(format!("no rate is called {rate:?}")));
+                }
+            }
+            if let Some(budget) = line.budget.as_ref().filter(|budget| all.budget(budget).is_none()) {
+                return Err(wrong(format!("no budget is called {budget:?}")));
+            }
+            if line.carried.is_empty() {
+                return Err(wrong("what carries it, or \"none: missing\"".into()));
+            }
+        }
+        for bound in &all.bounds {
+            let wrong = |why| Wrong::Row { path: path.into(), row: bound.what.clone(), why };
+            if let Some(slope) = bound.slope.as_ref().filter(|slope| slopes.get(slope).is_none()) {
+                return Err(wrong(format!("no slope is called {slope:?}")));
+            }
+            if bound.needed.is_some() == bound.slope.is_some() {
+                return Err(wrong("either a number that is needed, or a slope that says it".into()));
+            }
+        }
+        Ok(all)
+    }
+
+    /// What is needed of a bound at the fleet's size.
+    pub fn needed(&self, bound: &Bound, slopes: &Slopes) -> Option<f64> {
+        let of = |slope: &String| Some(self.at(slopes.get(slope)?, Build::Now)?.0);
+        bound.needed.or_else(|| bound.slope.as_ref().and_then(of))
+    }
+    pub fn size(&self, id: &str) -> Option<f64> {
+        self.sizes.iter().find(|size| size.id == id).map(|size| size.value)
+    }
+    fn rate(&self, id: &str) -> Option<f64> {
+        self.rates.iter().find(|rate| rate.id == id).map(|rate| rate.value / rate.over)
+    }
+    pub fn budget(&self, id: &str) -> Option<&Budget> {
+        self.budgets.iter().find(|budget| budget.id == id)
+    }
+    /// The slope at the fleet's size, of either build; none where that has no points.
+    pub fn at(&self, slope: &Slope, build: Build) -> Option<(f64, Line)> {
+        let points = match (build, &slope.before) {
+            (Build::Before, Some(before)) => &before.points,
+            _ => &slope.points,
+        };
+        let size = slope.axis.as_ref().and_then(|axis| self.size(axis));
+        match (size, points.last()) {
+            (Some(size), _) => slopes::at(points, size),
+            (None, Some((_, value))) => Some((*value, Line::ReadOff)),
+            (None, None) => None,
+        }
+    }
+    /// What a line says of either build; none where nothing is known. A line that names nothing of the build before
+    /// is the same there, if one of its slopes was measured with that build or none was touched.
+    pub fn figure(&self, entry: &Entry, build: Build, slopes: &Slopes) -> Option<Figure> {
+        let terms = match build {
+            Build::Before if !entry.before.is_empty() => &entry.before,
+            _ => &entry.terms,
+        };
+        let mut sum = Figure { value: 0.0, basis: Basis::Measured, missing: Vec::new() };
+        for term in terms {
+            let slope = slopes.get(&term.slope)?;
+            let Some((value, line)) = self.at(slope, build) else {
+                sum.missing.push(term.slope.clone());
+                continue;
+            };
+            let times: f64 = term.times.iter().filter_map(|rate| self.rate(rate)).product();
+            sum.value += value * times;
+            let plain = terms.len() == 1 && term.times.is_empty() && line == Line::ReadOff;
+            let basis = if plain { slope.basis } else { slope.basis.max(Basis::WorkedOut) };
+            sum.basis = sum.basis.max(basis);
+        }
+        (sum.missing.len() < terms.len()).then_some(sum)
+    }
+}
--- /dev/null
+++ b/lab/src/scale/mod.rs
@@ -0,0 +1,3 @@
+//! The fleet ahead: its sizes, what it costs, and the page that says so.
+
+pub mod capacity;
