Lab: scale-tool and scale-callers; capacity takes members, lists, tool and callers too

Need: the page wants figures for the operators' tool and for callers, which no scenario measured, and rows for members and agreed lists whose scenarios print them by kind. Lines of the page may be at another size than the slope's, and say what they assume.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -99,6 +99,10 @@
     FramedCpu,
     /// Works docs/CAPACITY.md out from what was measured
     Capacity,
+    /// What the operators' tool costs, by methods and tenants; --other measures another asterrill
+    ScaleTool,
+    /// What connections cost that callers keep open; --other measures another asterrilld
+    ScaleCallers,
 }
 
 impl Scenario {
@@ -125,6 +129,8 @@
             Scenario::ConfigStorm => "config-storm",
             Scenario::ConfigCrash => "config-crash",
             Scenario::Capacity => "capacity",
+            Scenario::ScaleTool => "scale-tool",
+            Scenario::ScaleCallers => "scale-callers",
         }
     }
     fn play(self, report: &mut Report, to: &Arguments) -> Result<(), Fault> {
@@ -170,6 +176,8 @@
             }
             Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), to.rate, to.other.as_deref()),
             Scenario::Capacity => scale::capacity::scenario(report, &to.capacity),
+            Scenario::ScaleTool => scale::tool::scenario(report, to.other.as_deref()),
+            Scenario::ScaleCallers => scale::callers::scenario(report, to.other.as_deref()),
         }
     }
 }
--- a/lab/src/scale/capacity/budgets.rs
+++ b/lab/src/scale/capacity/budgets.rs
@@ -55,6 +55,9 @@
     pub slope: String,
     #[serde(default)]
     pub times: Vec<String>,
+    /// At another of the sizes than that of the slope's axis.
+    #[serde(default)]
+    pub at: Option<String>,
 }
 
 /// One line of the page.
@@ -78,6 +81,9 @@
     pub before: Vec<Term>,
     #[serde(default)]
     pub budget: Option<String>,
+    /// What is taken for granted in it.
+    #[serde(default)]
+    pub assumed: Option<String>,
     pub carried: String,
 }
 
@@ -147,6 +153,10 @@
                     return Err(wrong(format!("no rate is called {rate:?}")));
                 }
             }
+            let sizes = line.terms.iter().chain(&line.before).filter_map(|term| term.at.as_ref());
+            if let Some(size) = sizes.into_iter().find(|size| all.size(size).is_none()) {
+                return Err(wrong(format!("no size is called {size:?}")));
+            }
             if let Some(budget) = line.budget.as_ref().filter(|budget| all.budget(budget).is_none()) {
                 return Err(wrong(format!("no budget is called {budget:?}")));
             }
@@ -182,11 +192,14 @@
     }
     /// The slope at the fleet's size, of either build; none where that has no points.
     pub fn at(&self, slope: &Slope, build: Build) -> Option<(f64, Line)> {
+        let size = slope.axis.as_ref().and_then(|axis| self.size(axis));
+        self.at_size(slope, size, build)
+    }
+    fn at_size(&self, slope: &Slope, size: Option<f64>, build: Build) -> Option<(f64, Line)> {
         let points = match (build, &slope.before) {
             (Build::Before, Some(before)) => &before.points,
             _ => &slope.points,
         };
-        let size = slope.axis.as_ref().and_then(|axis| self.size(axis));
         match (size, points.last()) {
             (Some(size), _) => slopes::at(points, size),
             (None, Some((_, value))) => Some((*value, Line::ReadOff)),
@@ -203,7 +216,8 @@
         let mut sum = Figure { value: 0.0, basis: Basis::Measured, missing: Vec::new() };
         for term in terms {
             let slope = slopes.get(&term.slope)?;
-            let Some((value, line)) = self.at(slope, build) else {
+            let size = term.at.as_ref().or(slope.axis.as_ref()).and_then(|id| self.size(id));
+            let Some((value, line)) = self.at_size(slope, size, build) else {
                 sum.missing.push(term.slope.clone());
                 continue;
             };
@@ -213,6 +227,9 @@
             let basis = if plain { slope.basis } else { slope.basis.max(Basis::WorkedOut) };
             sum.basis = sum.basis.max(basis);
         }
+        if entry.assumed.is_some() {
+            sum.basis = Basis::Assumed;
+        }
         (sum.missing.len() < terms.len()).then_some(sum)
     }
 }
--- a/lab/src/scale/capacity/page.rs
+++ b/lab/src/scale/capacity/page.rs
@@ -178,7 +178,8 @@
 }
 
 fn taken(slopes: &Slopes) -> String {
-    format!("Taken {}, unless a row says otherwise.\n", told_of(&slopes.taken))
+    let [now, before] = [&slopes.taken, &slopes.before].map(told_of);
+    format!("Taken {now}; the build before {before}; unless a row says otherwise.\n")
 }
 
 fn sizes(budgets: &Budgets) -> String {
@@ -241,7 +242,11 @@
         let figure = budgets.figure(row, Build::Now, slopes);
         let budget = row.budget.as_ref().and_then(|id| budgets.budget(id));
         let unit = budget.map_or(&row.unit, |budget| &budget.unit);
-        let basis = figure.as_ref().map_or("", |figure| figure.basis.name());
+        let basis = match (&figure, &row.assumed) {
+            (Some(_), Some(why)) => format!("assumed: {why}"),
+            (Some(figure), None) => figure.basis.name().to_string(),
+            (None, _) => String::new(),
+        };
         let (most, of) = match (budget, &figure) {
             (Some(budget), Some(figure)) if figure.value > budget.most => {
                 (number(budget.most), format!("**{}**", times(figure.value, budget.most)))
--- a/lab/src/scale/capacity/slopes.rs
+++ b/lab/src/scale/capacity/slopes.rs
@@ -93,6 +93,8 @@
 #[derive(Clone, PartialEq, Debug)]
 pub struct Slopes {
     pub taken: Taken,
+    /// Of the figures of the build before.
+    pub before: Taken,
     pub slopes: Vec<Slope>,
 }
 
@@ -101,6 +103,7 @@
 struct Raw {
     format: u64,
     taken: Taken,
+    before: Taken,
     slopes: Vec<Value>,
 }
 
@@ -123,7 +126,7 @@
             }
             slopes.push(slope);
         }
-        Ok(Slopes { taken: raw.taken, slopes })
+        Ok(Slopes { taken: raw.taken, before: raw.before, slopes })
     }
 
     pub fn get(&self, id: &str) -> Option<&Slope> {
--- a/lab/src/scale/capacity/take.rs
+++ b/lab/src/scale/capacity/take.rs
@@ -1,7 +1,7 @@
 //! Takes up what `scale-config --json` printed, as points of the rows; the size is methods and tenants together.
 
 use super::page::number;
-use super::slopes::{Before, Slopes, FORMAT};
+use super::slopes::{Before, Slope, Slopes, Taken, FORMAT};
 use super::{As, Wrong};
 use serde::Serialize;
 use serde_json::ser::{Formatter, PrettyFormatter};
@@ -10,6 +10,9 @@
 use std::io;
 use std::path::Path;
 
+/// The note of a row whose figures are to come.
+const UNTIL: &str = "not measured yet";
+
 /// What a row is made of: a field of what a scenario printed, less another where there is one, in units of the row.
 struct Made {
     row: &'static str,
@@ -44,6 +47,18 @@
     Made { row, scenario: "scale-members", field, unit, only, ..CONFIG }
 }
 
+const fn agree(
+    row: &'static str, field: &'static str, unit: f64, only: &'static [(&'static str, &'static str)],
+) -> Made {
+    Made { row, scenario: "scale-agree", field, unit, only, ..CONFIG }
+}
+const fn tool(row: &'static str, field: &'static str) -> Made {
+    Made { row, scenario: "scale-tool", field, only: &[], ..CONFIG }
+}
+const fn callers(row: &'static str, field: &'static str) -> Made {
+    Made { row, scenario: "scale-callers", field, only: &[], ..CONFIG }
+}
+
 const KB: f64 = 1_024.0;
 const QUIET: &[(&str, &str)] = &[("kind", "quiet"), ("loss", "0")];
 const LOSS: &[(&str, &str)] = &[("kind", "quiet"), ("loss", "0.15")];
@@ -51,7 +66,13 @@
 const ZONE: &[(&str, &str)] = &[("kind", "zone"), ("loss", "0")];
 const CUT: &[(&str, &str)] = &[("kind", "cut"), ("loss", "0")];
 
-const MADE: [Made; 38] = [
+const AGREE_QUIET: &[(&str, &str)] = &[("kind", "quiet"), ("entries", "10000")];
+const AGREE_DEAD: &[(&str, &str)] = &[("kind", "dead"), ("entries", "10000")];
+const AGREE_CUT: &[(&str, &str)] = &[("kind", "cut"), ("entries", "10000")];
+const AGREE_LOSS: &[(&str, &str)] = &[("kind", "loss"), ("entries", "10000")];
+const AGREE_KEEPER: &[(&str, &str)] = &[("kind", "keeper"), ("entries", "10000")];
+
+const MADE: &[Made] = &[
     above("config-memory", "rss_kb", "rss_kb_small", KB),
     above("config-memory-changes", "rss_kb_after", "rss_kb_small", KB),
     above("config-memory-reloads", "rss_kb_after_reloads", "rss_kb_small", KB),
@@ -90,6 +111,33 @@
     members("members-cpu-heal", "worst_cpu_ms_per_s", 1.0, CUT),
     members("members-bytes-heal", "worst_bytes_per_s", 1e3, CUT),
     members("members-whole-cut", "whole_ms", 1e3, CUT),
+    agree("holder-cpu", "holder_cpu_ms_per_s_changing", 1.0, AGREE_QUIET),
+    agree("holder-bytes", "holder_bytes_per_s_changing", 1e3, AGREE_QUIET),
+    agree("holder-memory", "holder_kb_after", KB, AGREE_QUIET),
+    agree("keeper-cpu", "leader_cpu_ms_per_s_changing", 1.0, AGREE_QUIET),
+    agree("keeper-bytes", "leader_bytes_per_s_changing", 1e3, AGREE_QUIET),
+    agree("keeper-messages", "leader_messages_per_s_changing", 1.0, AGREE_QUIET),
+    agree("keeper-memory", "keeper_kb", KB, AGREE_QUIET),
+    agree("keeper-disk-change", "disk_bytes_per_change", 1.0, AGREE_QUIET),
+    agree("keeper-disk", "disk_bytes_whole", KB, AGREE_QUIET),
+    agree("keeper-catch-up", "catch_up_ms", 1e3, AGREE_QUIET),
+    agree("keeper-catch-up-cpu", "catch_up_keepers_cpu_ms", 1.0, AGREE_QUIET),
+    agree("keeper-catch-up-region", "catch_up_ms_255", 1e3, AGREE_QUIET),
+    agree("keeper-catch-up-region-cpu", "catch_up_keepers_cpu_ms_255", 1.0, AGREE_QUIET),
+    agree("agree-in-force", "in_force_ms_max", 1e3, AGREE_QUIET),
+    agree("agree-all", "everything_ms", 1e3, AGREE_QUIET),
+    agree("agree-in-force-dead", "in_force_ms_max", 1e3, AGREE_DEAD),
+    agree("agree-in-force-cut", "in_force_ms_max", 1e3, AGREE_CUT),
+    agree("agree-in-force-loss", "in_force_ms_max", 1e3, AGREE_LOSS),
+    agree("agree-in-force-keeper", "in_force_ms_max", 1e3, AGREE_KEEPER),
+    agree("agree-contradiction", "contradiction_ms_max", 1e3, AGREE_CUT),
+    tool("tool-check-cpu", "check_cpu_ms"),
+    tool("tool-check-memory", "check_peak_mb"),
+    tool("tool-diff-cpu", "diff_cpu_ms"),
+    tool("tool-diff-memory", "diff_peak_mb"),
+    callers("callers-memory", "memory_mb"),
+    callers("callers-descriptors", "descriptors"),
+    callers("callers-cpu", "cpu_ms_per_s"),
 ];
 
 /// Objects that a file holds: one, a list of them, or lines of which some are objects, as scenarios print them.
@@ -100,17 +148,33 @@
         Ok(one) => vec![one],
         Err(_) => text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect(),
     };
-    let all: Vec<_> = found.into_iter().filter(|value| size(value).is_some()).collect();
+    let all: Vec<_> = found.into_iter().flat_map(outputs).filter(|value| size(value).is_some()).collect();
     if all.is_empty() {
-        let why = "no object with methods and tenants, nodes or holders, as scale-* --json print them".into();
+        let why =
+            "no object with methods and tenants, nodes, holders or connections, as scale-* --json print them"
+                .into();
         return Err(Wrong::Output { path: path.into(), why });
     }
     Ok(all)
 }
 
+/// An output may stand beside the command that it is of, and hold one for each size.
+fn outputs(found: Value) -> Vec<Value> {
+    let output = if found["result"].is_object() { &found["result"] } else { &found };
+    let Some(runs) = output["runs"].as_array() else { return vec![output.clone()] };
+    let one = |run: &Value| {
+        let mut run = run.clone();
+        run["scenario"] = output["scenario"].clone();
+        run
+    };
+    runs.iter().filter(|run| run.is_object()).map(one).collect()
+}
+
 fn size(output: &Value) -> Option<u64> {
     let both = output["methods"].as_u64().zip(output["tenants"].as_u64()).map(|(one, other)| one + other);
-    both.or_else(|| output["nodes"].as_u64()).or_else(|| output["holders"].as_u64())
+    both.or_else(|| output["nodes"].as_u64())
+        .or_else(|| output["holders"].as_u64())
+        .or_else(|| output["connections"].as_u64())
 }
 
 /// What one output says of a row.
@@ -180,7 +244,7 @@
 pub fn take(path: &Path, text: &str, outputs: &[Value], build: As) -> Result<(String, Vec<String>), Wrong> {
     let mut slopes = Slopes::parse(path, text)?;
     let mut rows = Vec::new();
-    for made in &MADE {
+    for made in MADE {
         let mut sizes: BTreeMap<u64, Vec<Said>> = BTreeMap::new();
         for output in outputs {
             if let (Some(size), Some(said)) = (size(output), said(output, made, build)) {
@@ -193,7 +257,12 @@
         };
         let spread = spread(&sizes, made);
         let (points, kept) = match build {
-            As::After => (&mut slope.points, &mut slope.spread),
+            As::After => {
+                if slope.note == UNTIL {
+                    slope.note.clear();
+                }
+                (&mut slope.points, &mut slope.spread)
+            }
             As::Before => {
                 let empty = || Before { points: Vec::new(), spread: String::new(), taken: None };
                 let before = slope.before.get_or_insert_with(empty);
@@ -226,8 +295,8 @@
     let mut bytes = Vec::new();
     let mut to =
         serde_json::Serializer::with_formatter(&mut bytes, Rows { pretty: PrettyFormatter::new(), depth: 0 });
-    let rows = slopes.slopes.iter().collect::<Vec<_>>();
-    File { format: FORMAT, taken: &slopes.taken, slopes: rows }.serialize(&mut to)?;
+    File { format: FORMAT, taken: &slopes.taken, before: &slopes.before, slopes: &slopes.slopes }
+        .serialize(&mut to)?;
     let mut text = String::from_utf8(bytes).map_err(io::Error::other)?;
     text.push('\n');
     Ok(text)
@@ -236,8 +305,9 @@
 #[derive(Serialize)]
 struct File<'a> {
     format: u64,
-    taken: &'a super::slopes::Taken,
-    slopes: Vec<&'a super::slopes::Slope>,
+    taken: &'a Taken,
+    before: &'a Taken,
+    slopes: &'a [Slope],
 }
 
 /// As `PrettyFormatter`, but lists within the outer one stay on their line.
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -1,3 +1,5 @@
 //! The fleet ahead: its sizes, what it costs, and the page that says so.
 
+pub mod callers;
 pub mod capacity;
+pub mod tool;
--- a/lab/src/scale/tests/capacity.rs
+++ b/lab/src/scale/tests/capacity.rs
@@ -95,7 +95,8 @@
 fn a_measured_slope_has_four_sizes_that_grow() {
     let row = |points: &str| {
         let text = format!(
-            r#"{{"format": 1, "taken": {{"date": "", "machine": "", "cores": 1, "commit": ""}}, "slopes": [
+            r#"{{"format": 1, "taken": {{"date": "", "machine": "", "cores": 1, "commit": ""}},
+            "before": {{"date": "", "machine": "", "cores": 1, "commit": ""}}, "slopes": [
             {{"id": "it", "role": "keeper", "part": "", "what": "", "unit": "", "axis": "members", "basis": "measured",
               "command": "make", "points": {points}, "spread": "", "note": ""}}]}}"#
         );
@@ -142,11 +143,24 @@
     assert_eq!((last, row.basis), ((53_700.0, 11.0), Basis::Measured));
     assert!(row.spread.contains("at 53,700 10 to 110"), "{}", row.spread);
     assert_eq!(row.before, Slopes::parse(&path, &text).unwrap().get("config-memory").unwrap().before);
+    let beside = json!({"scenario": "scale-config", "methods": 4_700, "tenants": 49_000, "rss_kb": 0, "rss_kb_small": 0,
+        "other": {"rss_kb": 61_440, "rss_kb_small": 10_240, "spread": {"rss_kb": [51_200, 71_680]}}});
+    let four = [&outputs[..9], &[beside]].concat();
+    let (before, _) = take::take(&path, &once, &four, As::Before).unwrap();
+    let row = Slopes::parse(&path, &before).unwrap().get("config-memory").cloned().unwrap();
+    let before = row.before.unwrap();
+    assert_eq!((before.points.last(), row.points.last()), (Some(&(53_700.0, 50.0)), Some(&last)));
+    assert!(before.spread.contains("at 53,700 40 to 60"), "{}", before.spread);
     let (twice, _) = take::take(&path, &once, &outputs, As::After).unwrap();
     assert_eq!(once, twice);
     let lines = outputs.iter().map(|output| format!("{output}\n")).collect::<String>();
     std::fs::write(copy.0.join("out.txt"), format!("playing\n{lines}")).unwrap();
     assert_eq!(take::read(&copy.0.join("out.txt")).unwrap(), outputs);
+    let one = json!({"command": "x", "result": {"scenario": "scale-tool", "runs": outputs}});
+    std::fs::write(copy.0.join("out.txt"), one.to_string()).unwrap();
+    let read = take::read(&copy.0.join("out.txt")).unwrap();
+    assert_eq!(read.len(), outputs.len());
+    assert!(read.iter().all(|output| output["scenario"] == "scale-tool" && output["rss_kb"].is_u64()));
     std::fs::write(copy.0.join("out.txt"), "{}").unwrap();
     assert!(take::read(&copy.0.join("out.txt")).unwrap_err().to_string().contains("methods and tenants"));
 }
