--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -52,7 +52,9 @@
     #[arg(long, global = true)]
     messages: Option<u64>,
     #[command(flatten)]
-    capacity: scale::capacity::Options,
+    capacity: scale::capacity::PageOptions,
+    #[command(flatten)]
+    forms: scale::forms::FormOptions,
 }
 
 #[derive(Subcommand, Clone, Copy, Debug)]
@@ -103,6 +105,8 @@
     ScaleTool,
     /// What connections cost that callers keep open; --other measures another asterrilld
     ScaleCallers,
+    /// Forms in which a version of the configuration could be kept, side by side
+    ScaleForms,
 }
 
 impl Scenario {
@@ -131,6 +135,7 @@
             Scenario::Capacity => "capacity",
             Scenario::ScaleTool => "scale-tool",
             Scenario::ScaleCallers => "scale-callers",
+            Scenario::ScaleForms => "scale-forms",
         }
     }
     fn play(self, report: &mut Report, to: &Arguments) -> Result<(), Fault> {
@@ -178,6 +183,7 @@
             Scenario::Capacity => scale::capacity::scenario(report, &to.capacity),
             Scenario::ScaleTool => scale::tool::scenario(report, to.other.as_deref()),
             Scenario::ScaleCallers => scale::callers::scenario(report, to.other.as_deref()),
+            Scenario::ScaleForms => scale::forms::scenario(report, to.forms),
         }
     }
 }
--- a/lab/src/scale/capacity.rs
+++ b/lab/src/scale/capacity.rs
@@ -16,7 +16,7 @@
 
 /// What `asterrill-lab capacity` is told.
 #[derive(Args, Clone, Debug)]
-pub struct Options {
+pub struct PageOptions {
     /// For capacity: say whether page and plots agree with the measured slopes, and write nothing
     #[arg(long, global = true)]
     check: bool,
@@ -104,7 +104,7 @@
     worked.files.iter().filter(|file| !same(file)).map(|(path, _)| path.as_path()).collect()
 }
 
-pub fn scenario(report: &mut Report, to: &Options) -> Result<(), Fault> {
+pub fn scenario(report: &mut Report, to: &PageOptions) -> Result<(), Fault> {
     if let Some(build) = to.as_build.filter(|_| !to.take.is_empty()) {
         let path = to.docs.join("capacity/slopes.json");
         let text = read(&path)?;
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod callers;
 pub mod capacity;
+pub mod forms;
 pub mod tool;
