--- a/lab/src/scale/capacity.rs
+++ b/lab/src/scale/capacity.rs
@@ -26,6 +26,9 @@
     /// Of which build the figures of --take are
     #[arg(long = "as", global = true, value_enum, value_name = "BUILD")]
     as_build: Option<As>,
+    /// The commit of the build whose figures --take takes up, for the page
+    #[arg(long, global = true, value_name = "HASH", requires = "take")]
+    commit: Option<String>,
     /// For capacity: where the pages are
     #[arg(long, global = true, default_value = "docs", value_name = "DIRECTORY")]
     docs: PathBuf,
@@ -109,7 +112,7 @@
         let path = to.docs.join("capacity/slopes.json");
         let text = read(&path)?;
         let outputs = to.take.iter().map(|path| take::read(path)).collect::<Result<Vec<_>, _>>()?.concat();
-        let (text, taken) = take::take(&path, &text, &outputs, build)?;
+        let (text, taken) = take::take(&path, &text, &outputs, build, to.commit.as_deref())?;
         std::fs::write(&path, text)?;
         report.set("taken", taken.into());
     }
--- a/lab/src/scale/capacity/take.rs
+++ b/lab/src/scale/capacity/take.rs
@@ -114,6 +114,7 @@
     members("members-whole-zone", "whole_ms", 1e3, ZONE),
     members("members-cpu-cut", "cut_worst_cpu_ms_per_s", 1.0, CUT),
     members("members-bytes-cut", "cut_worst_bytes_per_s", 1e3, CUT),
+    members("members-sides", "sides_that_lead", 1.0, CUT),
     members("members-cpu-heal", "worst_cpu_ms_per_s", 1.0, CUT),
     members("members-bytes-heal", "worst_bytes_per_s", 1e3, CUT),
     members("members-whole-cut", "whole_ms", 1e3, CUT),
@@ -258,7 +259,9 @@
 }
 
 /// The text of the slopes with the outputs as points, and the rows that got some. Points of other sizes stay.
-pub fn take(path: &Path, text: &str, outputs: &[Value], build: As) -> Result<(String, Vec<String>), Wrong> {
+pub fn take(
+    path: &Path, text: &str, outputs: &[Value], build: As, commit: Option<&str>,
+) -> Result<(String, Vec<String>), Wrong> {
     let mut slopes = Slopes::parse(path, text)?;
     let mut rows = Vec::new();
     for made in MADE {
@@ -293,6 +296,10 @@
         *kept = spread;
         rows.push(made.row.to_string());
     }
+    let taken = if build == As::After { &mut slopes.taken } else { &mut slopes.before };
+    if let Some(commit) = commit {
+        taken.commit = commit.into();
+    }
     if rows.is_empty() {
         return Err(Wrong::Output {
             path: path.into(),
