Capacity: the configuration before and now, RPCs, members lost, cut and back

Change: rows for RPCs over the build before, for lists in an RPC, for what the machine itself kept a thread waiting, and for what a real process adds to a hollow member; a run's build beside it is read at each size.

--- a/lab/src/scale/capacity/slopes.rs
+++ b/lab/src/scale/capacity/slopes.rs
@@ -60,6 +60,9 @@
 pub struct Before {
     pub points: Vec<(f64, f64)>,
     pub spread: String,
+    /// Whether a line may be drawn through them: it does at all sizes what it does at these.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub line: bool,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub taken: Option<Taken>,
 }
@@ -150,6 +153,9 @@
         check_points("points", &self.points)?;
         if let Some(before) = &self.before {
             check_points("before.points", &before.points)?;
+            if before.line && before.points.len() < SIZES {
+                return Err(format!("before.points: a line wants {SIZES} sizes"));
+            }
         }
         if self.basis == Basis::Measured && !self.points.is_empty() && self.command.is_empty() {
             return Err("measured, but by what command is not said".into());
--- a/lab/src/scale/capacity/take.rs
+++ b/lab/src/scale/capacity/take.rs
@@ -19,6 +19,8 @@
     scenario: &'static str,
     field: &'static str,
     less: Option<&'static str>,
+    /// Over that of the build beside it.
+    over_other: bool,
     /// Taken where the field is not there: said in the spread.
     or: Option<&'static str>,
     unit: f64,
@@ -31,6 +33,7 @@
     scenario: "scale-config",
     field: "",
     less: None,
+    over_other: false,
     or: None,
     unit: 1.0,
     only: &[("rate", "84")],
@@ -67,7 +70,8 @@
 const FEW: &[(&str, &str)] = &[("callers", "42")];
 const ALL: &[(&str, &str)] = &[("callers", "5100")];
 const QUIET: &[(&str, &str)] = &[("kind", "quiet"), ("loss", "0")];
-const LOSS: &[(&str, &str)] = &[("kind", "quiet"), ("loss", "0.15")];
+const LOSS: &[(&str, &str)] = &[("loss", "0.15")];
+const CALM_LOSS: &[(&str, &str)] = &[("kind", "calm"), ("loss", "0.15")];
 const RESTARTS: &[(&str, &str)] = &[("kind", "restarts"), ("loss", "0")];
 const ZONE: &[(&str, &str)] = &[("kind", "zone"), ("loss", "0")];
 const CUT: &[(&str, &str)] = &[("kind", "cut"), ("loss", "0")];
@@ -96,6 +100,9 @@
     above("config-bytes-disk", "bytes_per_change_disk", "entry_bytes", 1.0),
     Made { unit: KB, ..of("config-file", "file_bytes") },
     of("config-start", "start_ms"),
+    above("config-memory-peak-reloads", "peak_kb_after_reloads", "rss_kb_small", KB),
+    of("config-gap-floor", "gap_ms_floor"),
+    Made { over_other: true, ..of("config-small-memory", "rss_kb_small") },
     members("members-cpu", "cpu_ms_per_s", 1.0, QUIET),
     members("members-bytes", "bytes_per_s", 1e3, QUIET),
     members("members-datagrams", "datagrams_per_s", 1.0, QUIET),
@@ -103,7 +110,7 @@
     members("members-found", "found_ms", 1e3, QUIET),
     members("members-detect", "detect_ms_max", 1e3, QUIET),
     members("members-transition", "transition_all_ms", 1e3, QUIET),
-    members("members-false-loss", "false_failed", 1.0, LOSS),
+    members("members-false-loss", "false_failed", 1.0, CALM_LOSS),
     members("members-cpu-loss", "cpu_ms_per_s", 1.0, LOSS),
     members("members-bytes-loss", "bytes_per_s", 1e3, LOSS),
     members("members-cpu-restarts", "worst_cpu_ms_per_s", 1.0, RESTARTS),
@@ -146,6 +153,8 @@
     rpc("rpc-cpu", "cpu_us", FEW),
     rpc("rpc-ratio", "ratio", FEW),
     rpc("rpc-ratio-all", "ratio", ALL),
+    rpc("rpc-to-before", "to_other", FEW),
+    Made { scenario: "scale-rpc-lists", ..rpc("rpc-ratio-lists", "ratio", ALL) },
     callers("callers-memory", "memory_mb"),
     callers("callers-descriptors", "descriptors"),
     callers("callers-cpu", "cpu_ms_per_s"),
@@ -169,17 +178,29 @@
     Ok(all)
 }
 
-/// An output may stand beside the command that it is of, and hold one for each size.
+/// An output may stand beside the command that it is of, and hold one for each size, with that of the build beside it.
 fn outputs(found: Value) -> Vec<Value> {
     let output = if found["result"].is_object() { &found["result"] } else { &found };
-    let runs = output["runs"].as_array().or_else(|| output["points"].as_array());
-    let Some(runs) = runs else { return vec![output.clone()] };
-    let one = |run: &Value| {
+    let list = |name: &'static str| Some((name, output[name].as_array()?));
+    let runs: Vec<_> = ["runs", "points", "lists"].into_iter().filter_map(list).collect();
+    if runs.is_empty() {
+        return vec![output.clone()];
+    }
+    let scenario = output["scenario"].as_str().unwrap_or_default();
+    let one = |(n, (list, place, run)): (usize, (&str, usize, &Value))| {
         let mut run = run.clone();
-        run["scenario"] = output["scenario"].clone();
+        run["scenario"] = scenario.into();
+        run["other"] = output["other"][list][place].clone();
+        run["to_other"] = output["ratio_to_other"][n].clone();
+        if list == "lists" {
+            run["scenario"] = format!("{scenario}-lists").into();
+            run["methods"] = Value::Null;
+        }
         run
     };
-    runs.iter().filter(|run| run.is_object()).map(one).collect()
+    let all =
+        runs.into_iter().flat_map(|(list, runs)| runs.iter().enumerate().map(move |(n, run)| (list, n, run)));
+    all.filter(|(_, _, run)| run.is_object()).enumerate().map(one).collect()
 }
 
 fn size(output: &Value) -> Option<u64> {
@@ -187,6 +208,7 @@
     both.or_else(|| output["nodes"].as_u64())
         .or_else(|| output["holders"].as_u64())
         .or_else(|| output["connections"].as_u64())
+        .or_else(|| output["entries"].as_u64())
 }
 
 /// What one output says of a row.
@@ -217,9 +239,11 @@
     };
     let instead = figures[made.field].is_null();
     let field = if instead { made.or? } else { made.field };
-    let of = |value: f64| (value - less) / made.unit;
+    let unit = if made.over_other { output["other"][field].as_f64()? } else { made.unit };
+    let of = |value: f64| (value - less) / unit;
     let value = of(figures[field].as_f64()?);
-    let end = |n: usize| figures["spread"][field][n].as_f64().map_or(value, of);
+    let spreads = [&figures["spread"][field], &figures[format!("{field}_spread")], &figures["spread"]];
+    let end = |n: usize| spreads.iter().find_map(|spread| spread[n].as_f64()).map_or(value, of);
     let broken = figures["broken"][0].as_str().map(str::to_string);
     Some(Said { value, least: end(0), most: end(1), instead, broken })
 }
