--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -62,6 +62,10 @@
     /// What the scale scenarios are played at
     #[command(flatten)]
     scale: scale::Arguments,
+    #[command(flatten)]
+    capacity: scale::capacity::PageOptions,
+    #[command(flatten)]
+    forms: scale::forms::FormOptions,
 }
 
 impl Arguments {
@@ -121,6 +125,14 @@
     ScaleConfig,
     /// CPU of an RPC by methods, tenants, callers and entries of lists
     ScaleRpc,
+    /// Works docs/CAPACITY.md out from what was measured
+    Capacity,
+    /// What the operators' tool costs, by methods and tenants; --other measures another asterrill
+    ScaleTool,
+    /// What connections cost that callers keep open; --other measures another asterrilld
+    ScaleCallers,
+    /// Forms in which a version of the configuration could be kept, side by side
+    ScaleForms,
 }
 
 impl Scenario {
@@ -150,6 +162,10 @@
             Scenario::ScaleAgree(_) => "scale-agree",
             Scenario::ScaleConfig => "scale-config",
             Scenario::ScaleRpc => "scale-rpc",
+            Scenario::Capacity => "capacity",
+            Scenario::ScaleTool => "scale-tool",
+            Scenario::ScaleCallers => "scale-callers",
+            Scenario::ScaleForms => "scale-forms",
         }
     }
     fn play(self, report: &mut Report, to: &Arguments) -> Result<(), Fault> {
@@ -208,6 +224,10 @@
                 scale::rpc::scenario(report, to.seed, &to.scale, to.rate, to.seconds, to.other.as_deref())
             }
             Scenario::FramedCpu => amqp::framed_cpu(report, to.seed, span(4), rate, to.other.as_deref()),
+            Scenario::Capacity => scale::capacity::scenario(report, &to.capacity),
+            Scenario::ScaleTool => scale::tool::scenario(report, to.other.as_deref()),
+            Scenario::ScaleCallers => scale::callers::scenario(report, to.other.as_deref()),
+            Scenario::ScaleForms => scale::forms::scenario(report, to.forms),
         }
     }
 }
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -1,12 +1,16 @@
 //! What the parts cost at the fleet's size: `asterrill-lab scale-*`. Figures, with the budget beside what is over it.
 
 pub mod agree;
+pub mod callers;
+pub mod capacity;
 pub mod config;
+pub mod forms;
 mod hollow;
 pub mod members;
 mod members_real;
 pub mod rig;
 pub mod rpc;
+pub mod tool;
 
 /// What the scenarios of one process are played at.
 #[derive(clap::Args, Clone, Debug)]
