--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -61,7 +61,7 @@
     real: Option<usize>,
     /// What the scale scenarios are played at
     #[command(flatten)]
-    scale: scale::Arguments,
+    scale: scale::Sizes,
     #[command(flatten)]
     capacity: scale::capacity::PageOptions,
     #[command(flatten)]
--- a/lab/src/scale/config.rs
+++ b/lab/src/scale/config.rs
@@ -5,7 +5,7 @@
     machine_load, method_name, pair_names, tenant_name, Disk, Habits, Load, Operator, Reading, Rig, Site,
     Span,
 };
-use super::Arguments;
+use super::Sizes;
 use crate::report::{Fault, Report};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -278,7 +278,7 @@
 
 /// Plays one build. Its figures, and the rules that it broke.
 pub fn play(
-    seed: u64, to: &Arguments, rate: f64, program: Option<&Path>,
+    seed: u64, to: &Sizes, rate: f64, program: Option<&Path>,
 ) -> Result<(Map<String, Value>, Vec<String>), Fault> {
     let mut report = Report::default();
     FIELDS.iter().for_each(|name| report.set(name, Value::Null));
@@ -669,7 +669,7 @@
 
 /// Plays this build, and another in turns; medians of the turns.
 pub fn scenario(
-    report: &mut Report, seed: u64, to: &Arguments, rate: Option<f64>, other: Option<&Path>,
+    report: &mut Report, seed: u64, to: &Sizes, rate: Option<f64>, other: Option<&Path>,
 ) -> Result<(), Fault> {
     let rate = rate.unwrap_or(RATE);
     let (mut these, mut those) = (Vec::new(), Vec::new());
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -14,7 +14,7 @@
 
 /// What the scenarios of one process are played at.
 #[derive(clap::Args, Clone, Debug)]
-pub struct Arguments {
+pub struct Sizes {
     /// Methods in the settings
     #[arg(long, global = true, default_value_t = 4_700)]
     pub methods: usize,
--- a/lab/src/scale/rpc.rs
+++ b/lab/src/scale/rpc.rs
@@ -4,7 +4,7 @@
 
 use super::config::{median, rounded};
 use super::rig::{machine_load, tenant_name, Habits, Load, Rig, Site};
-use super::Arguments;
+use super::Sizes;
 use crate::report::{Fault, Report};
 use serde_json::{json, Value};
 use std::net::UdpSocket;
@@ -151,7 +151,7 @@
 
 /// Plays this build, and another in turns.
 pub fn scenario(
-    report: &mut Report, seed: u64, to: &Arguments, rate: Option<f64>, seconds: Option<u64>,
+    report: &mut Report, seed: u64, to: &Sizes, rate: Option<f64>, seconds: Option<u64>,
     other: Option<&Path>,
 ) -> Result<(), Fault> {
     let rate = rate.unwrap_or(if to.quick { 500.0 } else { RATE });
