--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,9 @@
 	target/release/asterrill-lab scale-agree --holders 510 --kind loss --json
 	target/release/asterrill-lab scale-agree --holders 510 --kind keeper --json
 	target/release/asterrill-lab scale-agree --holders 160 --entries 49000 --json
+	target/release/asterrill-lab scale-tool --json
+	target/release/asterrill-lab scale-callers --json
+	target/release/asterrill-lab scale-forms --json
 
 # The users' standing test, quick: three days of the whole fleet under the fleet's clock. It needs their kit, which is not
 # part of this repository, and the cores to itself; without the kit it says so and fails, as nothing was measured.
