--- a/lab/src/scale/capacity/take.rs
+++ b/lab/src/scale/capacity/take.rs
@@ -153,7 +153,7 @@
     rpc("rpc-cpu", "cpu_us", FEW),
     rpc("rpc-ratio", "ratio", FEW),
     rpc("rpc-ratio-all", "ratio", ALL),
-    rpc("rpc-to-before", "to_other", FEW),
+    rpc("rpc-to-before", "ratio_to_other", FEW),
     Made { scenario: "scale-rpc-lists", ..rpc("rpc-ratio-lists", "ratio", ALL) },
     callers("callers-memory", "memory_mb"),
     callers("callers-descriptors", "descriptors"),
@@ -187,11 +187,10 @@
         return vec![output.clone()];
     }
     let scenario = output["scenario"].as_str().unwrap_or_default();
-    let one = |(n, (list, place, run)): (usize, (&str, usize, &Value))| {
+    let one = |(list, place, run): (&str, usize, &Value)| {
         let mut run = run.clone();
         run["scenario"] = scenario.into();
         run["other"] = output["other"][list][place].clone();
-        run["to_other"] = output["ratio_to_other"][n].clone();
         if list == "lists" {
             run["scenario"] = format!("{scenario}-lists").into();
             run["methods"] = Value::Null;
@@ -200,7 +199,7 @@
     };
     let all =
         runs.into_iter().flat_map(|(list, runs)| runs.iter().enumerate().map(move |(n, run)| (list, n, run)));
-    all.filter(|(_, _, run)| run.is_object()).enumerate().map(one).collect()
+    all.filter(|(_, _, run)| run.is_object()).map(one).collect()
 }
 
 fn size(output: &Value) -> Option<u64> {
--- a/lab/src/scale/rpc.rs
+++ b/lab/src/scale/rpc.rs
@@ -151,8 +151,7 @@
 
 /// Plays this build, and another in turns.
 pub fn scenario(
-    report: &mut Report, seed: u64, to: &Sizes, rate: Option<f64>, seconds: Option<u64>,
-    other: Option<&Path>,
+    report: &mut Report, seed: u64, to: &Sizes, rate: Option<f64>, seconds: Option<u64>, other: Option<&Path>,
 ) -> Result<(), Fault> {
     let rate = rate.unwrap_or(if to.quick { 500.0 } else { RATE });
     let rounds = to.turns.unwrap_or(if to.quick { 1 } else { ROUNDS }).max(1);
--- a/lab/src/scale/tests/capacity.rs
+++ b/lab/src/scale/tests/capacity.rs
@@ -131,6 +131,21 @@
     assert_eq!(at(&[], 20.0), None);
 }
 
+#[test]
+fn what_an_rpc_costs_over_the_build_before_is_taken_point_by_point() {
+    let copy = Copy::new("rpcs");
+    let path = copy.0.join("capacity/slopes.json");
+    let text = std::fs::read_to_string(&path).unwrap();
+    let point = |(methods, tenants, over): (u64, u64, f64)| json!({"methods": methods, "tenants": tenants, "callers": 42, "cpu_us": 50.0, "ratio_to_other": over});
+    let points = [(5, 0, 0.5), (470, 4_900, 0.625), (4_700, 49_000, 0.75)].map(point);
+    let output = json!({"scenario": "scale-rpc", "points": points});
+    std::fs::write(copy.0.join("out.txt"), output.to_string()).unwrap();
+    let read = take::read(&copy.0.join("out.txt")).unwrap();
+    let (text, _) = take::take(&path, &text, &read, As::After, Some("abcdef1")).unwrap();
+    let row = Slopes::parse(&path, &text).unwrap().get("rpc-to-before").cloned().unwrap();
+    assert_eq!(row.points, [(5.0, 0.5), (5_370.0, 0.625), (53_700.0, 0.75)]);
+}
+
 #[test]
 fn outputs_become_points_and_medians_and_may_be_taken_again() {
     let copy = Copy::new("take");
