config-crash looks for the file of versions, which took the place of two

It wants the record of the step on probation in that file now, not just a file, and damages the whole of it: as strict.

--- a/lab/src/config.rs
+++ b/lab/src/config.rs
@@ -371,8 +371,9 @@
     std::fs::write(&path, bad.to_string())?;
     stage.world.node.signal("HUP");
     report.rule("the signal did not begin a probation", reach(2, true));
-    let kept = stage.socket.with_file_name("probation");
-    report.rule("the probation was not written down", crate::amqp::until(ms(2_000), || kept.exists()));
+    let kept = stage.socket.with_file_name("versions");
+    let written = || std::fs::read_to_string(&kept).is_ok_and(|text| text.contains("\nstep probation "));
+    report.rule("the probation was not written down", crate::amqp::until(ms(2_000), written));
     stage.world.node.crash()?;
     report.rule("it does not start on the last good version", reach(1, false));
     let started = stage.world.node.read_log().contains("started on the last good version");
@@ -381,7 +382,7 @@
     std::thread::sleep(ms(300));
     report.rule("what was on probation was taken again", reach(1, false));
     // A state that is damaged is told, and the process serves what its file says.
-    std::fs::write(stage.socket.with_file_name("good"), "asterrill state 1\nsum 12\n")?;
+    std::fs::write(&kept, "asterrill state 1\nsum 12\n")?;
     std::fs::write(&path, &good)?;
     stage.world.node.crash()?;
     report.rule("a damaged state stops it", reach(1, false));
