A change that another one crosses while it is read is read again, up to four times

Since changes are read off the worker that crossing exists; before, both were one input. At fault: Orders::request (daemon/src/main.rs) handed the refusal on.

--- a/daemon/src/change.rs
+++ b/daemon/src/change.rs
@@ -96,6 +96,19 @@
     pub wish: Wish,
 }
 
+/// Bytes of a text up to which it may be held while it is read, to be read again.
+const SHORT: usize = 512 * 1024;
+
+impl Asked {
+    /// It may be held while it is read.
+    pub fn short(&self) -> bool {
+        match &self.what {
+            What::Text(text) | What::Step(text) => text.len() <= SHORT,
+            What::Entries(_) => true,
+        }
+    }
+}
+
 /// What a change is read and checked against.
 pub struct Glance {
     number: u64,
@@ -436,7 +449,7 @@
         let running = self.rollout.running().number;
         if against != running {
             let why = format!("version {running} came into force while it was read: hand it in again");
-            return refused(&why);
+            return json!({"ok": false, "error": why, "crossed": true});
         }
         match self.rollout.stage(now(), Change { content, hash: hash.clone(), base, wish }) {
             Ok(number) => {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -373,6 +373,7 @@
     }
 }
 
+const READINGS: usize = 4; // of a change that another one crossed
 const PATIENCE: Duration = Duration::from_secs(5); // the worker answers by then
 
 impl Orders {
@@ -387,7 +388,15 @@
             Request::Diff(asked) => (read(asked).map_or_else(|told| told, |prepared| prepared.told()), true),
             Request::Stage(asked) => {
                 let stage = |prepared| self.ask(Wanted::Stage(Box::new(prepared)), ring);
-                (read(asked).map_or_else(|told| told, stage), true)
+                let mut again = asked.short().then(|| asked.clone());
+                let mut told = read(asked).map_or_else(|told| told, stage);
+                // Another version came into force meanwhile, of a signal say: it is read against that one.
+                for _ in 0..READINGS {
+                    let Some(asked) = again.take_if(|_| told["crossed"] == true) else { break };
+                    again = Some(asked.clone());
+                    told = read(asked).map_or_else(|told| told, stage);
+                }
+                (told, true)
             }
             Request::Do(wanted) => {
                 let is_change = matches!(wanted, Wanted::Apply { .. });
