Test: a change that another crosses while it is read is staged all the same

The crossing is forced: another version comes into force the moment the change has been told what to be checked against.

--- a/daemon/src/tests/change.rs
+++ b/daemon/src/tests/change.rs
@@ -109,6 +109,38 @@
     assert_eq!(changes.want(&hub, Wanted::Status, &mut |_| ())["staged"], json!(null));
 }
 
+#[test]
+fn a_change_that_another_crosses_while_it_is_read_is_read_again_and_staged() {
+    let (hub, mut changes) = begin(&guests(0..3));
+    let (orders, other) =
+        (std::sync::Arc::new(crate::Orders::default()), read(&hub, &changes, &guests(0..4)));
+    let (asking, of, step) = (orders.clone(), hub.clone(), r#"{"put":"tenant","Name":"late","QuotaRps":7}"#);
+    let asks = std::thread::spawn(move || {
+        let asked =
+            Asked { what: What::Step(step.into()), base: None, wish: Wish { force: true, queue: false } };
+        asking.request(crate::control::Request::Stage(asked), &of, TERMS, 1)
+    });
+    let until = std::time::Instant::now() + std::time::Duration::from_secs(10);
+    let mut crossing = Some(other);
+    while !asks.is_finished() && std::time::Instant::now() < until {
+        let order = std::mem::take(&mut *orders.lock());
+        for told in order.glances {
+            told.try_send(changes.glance(&hub)).unwrap();
+            // Another version comes into force as soon as the change has been told what to be checked against.
+            let Some(prepared) = crossing.take() else { continue };
+            let apply = Wanted::Apply { if_base: None, probation: None };
+            for wanted in [Wanted::Stage(Box::new(prepared)), apply, Wanted::Settle] {
+                assert_eq!(changes.want(&hub, wanted, &mut |_| ())["ok"], json!(true));
+            }
+        }
+        for (wanted, told) in order.wants {
+            told.try_send(changes.want(&hub, wanted, &mut |_| ())).unwrap();
+        }
+    }
+    let told = asks.join().unwrap();
+    assert_eq!((&told["ok"], &told["version"]), (&json!(true), &json!(3)), "{told}");
+}
+
 #[test]
 fn a_notice_to_leave_is_told_between_two_slices() {
     one_worker().unwrap();
