--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HOST = "127.0.0.1"
@@ -465,18 +466,27 @@
     work = tempfile.mkdtemp(prefix="review-")
     backends = []
     code = 2
+
+    def stopped(*_):
+        raise CannotRun("stopped by a signal")
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, stopped)
     try:
         broken = asyncio.run(asyncio.wait_for(case(record, work, trouble, backends), 115))
         code = 1 if broken else 0
         record.say(f"{'BROKEN: ' + str(broken) + ' times' if broken else 'the rule held'} (trouble: {trouble})")
-    except (CannotRun, asyncio.TimeoutError) as error:
+    except Exception as error:
+        # Whatever fails in the stand-ins is no verdict about the backend.
         record.say(f"could not run: {type(error).__name__} {error}")
+        record.write(traceback.format_exc())
     finally:
         for backend in backends:
             backend.end()
-            with open(backend.log_path, errors="replace") as log:
-                for line in log.read().splitlines():
-                    record.write(f"log of {backend.name}: {line}")
+            if os.path.exists(backend.log_path):
+                with open(backend.log_path, errors="replace") as log:
+                    for line in log.read().splitlines():
+                        record.write(f"log of {backend.name}: {line}")
         record.close()
         shutil.rmtree(work, ignore_errors=True)
     sys.stdout.flush()
