A run never takes the reply to an earlier call after the agent's link breaks

Cause: once a link was back, the last command about every run was sent again, also if the agent had received it. Between the answer to the sample that follows the missed notices and the arrival of the resent command, a run goes on; `deliver` names no call, so the run takes the old reply for its next one. A launch has the same gap: a non-idempotent run that ends in it is started again.

Change: the session with the agent distinguishes commands that are received (a notice followed, or a sample was answered that was requested on the same link more than the 50 ms later in which commands may be lost), unsent (there was no link) and uncertain. Unsent ones are sent. Uncertain ones are resent only where this does nothing to a run that received them: launches of idempotent methods, `forgo`, `freeze`. An uncertain reply is left alone; without a notice for the longest latency target its call is skipped, or the run stopped. An uncertain launch of another method is aborted at its deadline if no notice comes. `subscribe` is put into the outbox under the core's lock, and nothing is without a link. Counters agent_uncertain, agent_resent.

Price: a reply or a non-idempotent launch that is really lost is no longer repaired.

--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -145,12 +145,10 @@
     fn before_connect(&mut self) {}
     fn on_connected(&mut self) {
         self.notices = agent::Reader::default();
-        let last_notice = self.dispatcher.with(|core, _, now| core.agent_connected(now));
-        let mut bytes = Vec::new();
-        agent::subscribe(&mut bytes, last_notice);
-        self.out.put(&[&bytes]);
+        self.dispatcher.with(|core, outbound, now| core.agent_connected(now, outbound));
     }
     fn on_disconnected(&mut self, _: bool) -> bool {
+        self.dispatcher.with(|core, outbound, _| core.agent_disconnected(outbound));
         std::mem::take(&mut self.received_notice)
     }
 }
--- a/daemon/src/core/agent.rs
+++ b/daemon/src/core/agent.rs
@@ -9,17 +9,27 @@
 use asterrill_settings::ServerParts;
 
 impl Core {
-    /// Registers a new link to the agent and returns the number of the last notice read.
-    pub fn agent_connected(&mut self, now: Us) -> NoticeId {
+    /// Registers a new link to the agent and subscribes to the notices after the last one read.
+    ///
+    /// Returns the number of that notice.
+    pub fn agent_connected(&mut self, now: Us, outbound: &mut dyn Outbound) -> NoticeId {
         self.now = self.engine.advance_to(now);
-        self.state.agent.link_connected(self.now)
+        let last_notice = self.state.agent.link_connected(self.now);
+        outbound.open_agent_link(last_notice);
+        last_notice
+    }
+
+    /// Handles the end of the link to the agent. Nothing is sent to the agent until the next one is connected.
+    pub fn agent_disconnected(&mut self, outbound: &mut dyn Outbound) {
+        self.state.agent.link_disconnected();
+        outbound.close_agent_link();
     }
 
     /// Handles a greeting of the agent.
     ///
     /// At the first greeting, `rebuilt` is the decision module rebuilt for the time at which the agent started. The
-    /// messages that may have been lost with the previous link are sent again once all notices missed in the meantime
-    /// have been read.
+    /// messages that were not sent or may have been lost with the previous link are handled once all notices missed in
+    /// the meantime have been read.
     pub fn agent_greeted(&mut self, now: Us, rebuilt: Option<ServerParts>, outbound: &mut dyn Outbound) {
         self.now = self.engine.advance_to(now);
         self.state.stats.agent_greetings += 1;
@@ -60,28 +70,30 @@
         self.state.agent.message_received();
         self.engine.gauges_sampled(now, agent::gauges(&self.state.names.gauges, values));
         if self.state.agent.sample_received(tag) {
-            self.resend_lost_messages(outbound);
-        }
-    }
-
-    /// Resends the messages that may have been lost with an earlier link. The agent ignores those that it has received.
-    fn resend_lost_messages(&mut self, outbound: &mut dyn Outbound) {
-        let lost = self.state.agent.take_lost_messages(self.now);
-        for id in lost.commands {
-            match self.engine.last_command(id) {
-                Some(Command::Launch { method, body }) => {
-                    let name = self.state.names.name(method).map_or("", |name| name);
-                    outbound.launch(id, name, body);
-                }
-                Some(Command::Resume { reply }) => outbound.deliver_reply(id, reply),
-                Some(Command::Skip) => {
-                    let notice = self.state.agent.command_sent(self.now, id);
-                    outbound.skip_call(id, notice);
-                }
-                None => {}
-            }
+            self.recover_unreceived_messages(outbound);
+        }
+    }
+
+    /// Handles the messages that the agent may not have received on an earlier link: sends those that were not sent, and
+    /// resends those that have no effect if they were received.
+    fn recover_unreceived_messages(&mut self, outbound: &mut dyn Outbound) {
+        let unreceived = self.state.agent.take_unreceived_messages(self.now);
+        if !unreceived.unsent.is_empty() || !unreceived.uncertain.is_empty() {
+            outbound.log(&format!(
+                "agent link resynchronized: commands not sent {}, commands that may have been lost {}, stops resent {}",
+                unreceived.unsent.len(),
+                unreceived.uncertain.len(),
+                unreceived.stops.len()
+            ));
+        }
+        for id in unreceived.unsent {
+            self.send_last_command(id, outbound);
         }
-        for id in lost.stops {
+        for id in unreceived.uncertain {
+            self.state.stats.commands_uncertain += 1;
+            self.resend_if_repeatable(id, outbound);
+        }
+        for id in unreceived.stops {
             outbound.stop(id);
         }
         if self.state.exercise.is_running() {
@@ -89,6 +101,45 @@
         }
     }
 
+    /// Resends the last command about a run if that has no effect on a run that has already received it.
+    fn resend_if_repeatable(&mut self, id: RpcId, outbound: &mut dyn Outbound) {
+        let repeatable = match self.engine.last_command(id) {
+            Some(Command::Launch { .. }) => self.engine.may_launch_again(id),
+            // The command names the call, so that it does not affect a later one.
+            Some(Command::Skip) => true,
+            // A reply does not name its call: a run that has received it and goes on could take it for the next one.
+            Some(Command::Resume { .. }) | None => false,
+        };
+        if repeatable {
+            self.send_last_command(id, outbound);
+        }
+    }
+
+    /// Sends the last command about a run on the current link.
+    fn send_last_command(&mut self, id: RpcId, outbound: &mut dyn Outbound) {
+        let Some(command) = self.engine.last_command(id) else { return };
+        let notice = self.state.agent.command_sent(self.now, id);
+        self.state.stats.commands_resent += 1;
+        match command {
+            Command::Launch { method, body } => {
+                let name = self.state.names.name(method).map_or("", |name| name);
+                outbound.launch(id, name, body);
+            }
+            Command::Resume { reply } => outbound.deliver_reply(id, reply),
+            Command::Skip => outbound.skip_call(id, notice),
+        }
+    }
+
+    /// Handles the commands that are still uncertain although a notice should have arrived by now.
+    pub(super) fn recover_overdue_commands(&mut self, outbound: &mut dyn Outbound) {
+        for id in self.state.agent.take_overdue_uncertain(self.now) {
+            self.resend_if_repeatable(id, outbound);
+            self.with_engine(self.now, outbound, |engine, now, outputs| {
+                engine.reply_uncertain(now, id, outputs)
+            });
+        }
+    }
+
     /// Registers a numbered notice and reports whether it is new. Every notice is registered before it is handled.
     fn is_new_notice(&mut self, number: NoticeId) -> bool {
         self.state.agent.message_received();
--- a/daemon/src/core/lifecycle.rs
+++ b/daemon/src/core/lifecycle.rs
@@ -52,6 +52,7 @@
         self.now = self.engine.advance_to(now);
         self.expire_exercise(outbound);
         self.check_agent_silence(outbound);
+        self.recover_overdue_commands(outbound);
         let broker = self.with_engine(now, outbound, |engine, now, outputs| {
             engine.tick(now, outputs);
             let credit = engine.credit();
--- a/daemon/src/dispatcher/outbound.rs
+++ b/daemon/src/dispatcher/outbound.rs
@@ -20,6 +20,13 @@
         self.send_to_sidecar(to, |bytes| sidecar::health(bytes, to.stream, healthy, credit));
     }
 
+    fn open_agent_link(&mut self, last: NoticeId) {
+        self.agent_connected = true;
+        self.send_to_agent(|bytes| agent::subscribe(bytes, last));
+    }
+    fn close_agent_link(&mut self) {
+        self.agent_connected = false;
+    }
     fn launch(&mut self, id: RpcId, method: &str, body: &[u8]) {
         self.send_body_to_agent(|bytes| agent::launch(bytes, id, method, body.len()), body);
     }
--- a/daemon/src/dispatcher/outboxes.rs
+++ b/daemon/src/dispatcher/outboxes.rs
@@ -51,6 +51,8 @@
     pub(super) listener: ListenerHandle,
     /// The bytes to be written to the agent.
     pub(super) agent: Outbox,
+    /// Whether there is a link to the agent. Without one, nothing is put into its outbox.
+    pub(super) agent_connected: bool,
     /// The upstream links, indexed by their ids.
     pub(super) upstream: Vec<UpstreamLinkState>,
     /// The bytes to be written to the broker, if queues are consumed.
@@ -86,6 +88,7 @@
             closing: BTreeMap::new(),
             listener,
             agent,
+            agent_connected: false,
             upstream: upstream.into_iter().map(link).collect(),
             broker: None,
             max_connections,
@@ -168,6 +171,9 @@
 
     /// Sends a message without a body to the agent.
     pub(super) fn send_to_agent(&mut self, encode: impl FnOnce(&mut Vec<u8>)) {
+        if !self.agent_connected {
+            return;
+        }
         self.scratch.clear();
         encode(&mut self.scratch);
         self.agent.put(&[&self.scratch]);
@@ -175,6 +181,9 @@
 
     /// Sends a message with a body to the agent.
     pub(super) fn send_body_to_agent(&mut self, encode: impl FnOnce(&mut Vec<u8>), body: &[u8]) {
+        if !self.agent_connected {
+            return;
+        }
         self.scratch.clear();
         encode(&mut self.scratch);
         self.agent.put(&[&self.scratch, body, b"\r\n"]);
--- a/daemon/src/outbound.rs
+++ b/daemon/src/outbound.rs
@@ -12,6 +12,11 @@
     /// Sends the answer to a sidecar's health check.
     fn answer_health_check(&mut self, to: SidecarStream, healthy: bool, credit: Option<f64>);
 
+    /// Subscribes to the agent's notices after `last`, as the first message on a new link. Messages to the agent are
+    /// sent from now on.
+    fn open_agent_link(&mut self, last: NoticeId);
+    /// Discards all messages to the agent until the next link.
+    fn close_agent_link(&mut self);
     /// Starts a run on the agent.
     fn launch(&mut self, id: RpcId, method: &str, body: &[u8]);
     /// Stops a run.
--- a/daemon/src/stats.rs
+++ b/daemon/src/stats.rs
@@ -82,6 +82,10 @@
     denied_by_policy => "barred",
     /// Links on which the agent sent a greeting.
     agent_greetings => "agent_up",
+    /// Commands that were sent on a later link to the agent than the one for which they were issued.
+    commands_resent => "agent_resent",
+    /// Commands that may or may not have been received on a link to the agent that ended.
+    commands_uncertain => "agent_uncertain",
     /// Reconnects to the agent because nothing was received from it, or about one of its runs, for too long.
     agent_silence_resets => "agent_silent",
     /// Protocol errors of sidecars.
--- a/engine/src/answers.rs
+++ b/engine/src/answers.rs
@@ -8,7 +8,7 @@
 impl<ReplyTo: Copy + Ord, Body: AsRef<[u8]>> Engine<ReplyTo, Body> {
     /// Sends the final answer of an RPC; does nothing if the RPC does not await one.
     pub(crate) fn answer(&mut self, id: RpcId, answer: FinalAnswer<'_>, out: &mut dyn Outputs<ReplyTo>) {
-        let Some(rpc) = self.rpcs.get(id).filter(|rpc| rpc.awaits_answer) else { return };
+        let Some(rpc) = self.rpcs.get(id).filter(|rpc| rpc.awaits_answer()) else { return };
         let reply_to = rpc.reply_to;
         let answered = AnsweredRpc {
             method: rpc.request.method,
@@ -29,8 +29,9 @@
     /// Releases an RPC that no longer awaits an answer. An RPC that is not running is closed; a running one is closed
     /// when its run ends.
     pub(crate) fn release_rpc(&mut self, id: RpcId, out: &mut dyn Outputs<ReplyTo>) {
+        let now = self.now;
         let Some(rpc) = self.rpcs.get_mut(id) else { return };
-        rpc.awaits_answer = false;
+        rpc.answered_at = rpc.answered_at.or(Some(now));
         match rpc.state {
             RpcState::Queued => {
                 self.close(id, out);
--- a/engine/src/calls.rs
+++ b/engine/src/calls.rs
@@ -44,9 +44,10 @@
         }
     }
 
-    /// Lets a run continue without the upstream call that it waits for.
+    /// Lets a run continue without the upstream call that it waits for, or whose reply it may not have received.
     pub(crate) fn skip_call(&mut self, id: RpcId, out: &mut dyn Outputs<ReplyTo>) {
-        let waiting = self.rpcs.get_mut(id).filter(|rpc| rpc.state == RpcState::NeedsCall);
+        let may_wait = |state| matches!(state, RpcState::NeedsCall | RpcState::Running(SentCommand::Resume));
+        let waiting = self.rpcs.get_mut(id).filter(|rpc| may_wait(rpc.state));
         let Some(rpc) = waiting else { return };
         rpc.state = RpcState::Running(SentCommand::Skip);
         self.stats.calls_skipped += 1;
--- a/engine/src/intake.rs
+++ b/engine/src/intake.rs
@@ -35,7 +35,7 @@
             reply_to,
             request,
             arrived_at,
-            awaits_answer: true,
+            answered_at: None,
             original: None,
             state: RpcState::Queued,
             body: Some(body),
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -23,7 +23,8 @@
 //! - Each RPC accepted by [`Engine::request_received`] is either answered exactly once or cancelled by
 //!   [`Engine::caller_cancelled`], never both.
 //! - An RPC is launched at most once. If an executor loses a command, the owner of its connection resends it
-//!   ([`Engine::last_command`]); the engine does not.
+//!   ([`Engine::last_command`]); the engine does not. Where a loss is not certain, [`Engine::may_launch_again`] and
+//!   [`Engine::reply_uncertain`] say how to proceed.
 //! - No output concerns an RPC after [`Outputs::closed`]; from then on its id may be reused.
 //! - The engine's time is monotonic even if the clock is set back.
 //!
--- a/engine/src/rpc.rs
+++ b/engine/src/rpc.rs
@@ -10,8 +10,8 @@
     pub(crate) request: IncomingRpc,
     /// Time of arrival, in microseconds.
     pub(crate) arrived_at: Us,
-    /// Whether its final answer is still due.
-    pub(crate) awaits_answer: bool,
+    /// Time since which its final answer is no longer due, in microseconds.
+    pub(crate) answered_at: Option<Us>,
     /// RPC that it is a retry of, or whose result it may share.
     pub(crate) original: Option<RpcId>,
     pub(crate) state: RpcState,
@@ -29,6 +29,11 @@
         self.body.as_ref().map_or(&[], Body::as_ref)
     }
 
+    /// Reports whether its final answer is still due.
+    pub(crate) fn awaits_answer(&self) -> bool {
+        self.answered_at.is_none()
+    }
+
     /// Returns the last command sent to its executor while its run is in progress.
     pub(crate) fn last_command(&self) -> Option<Command<'_>> {
         let RpcState::Running(sent) = self.state else { return None };
--- a/engine/src/runs.rs
+++ b/engine/src/runs.rs
@@ -5,6 +5,9 @@
 use crate::rpc::{RpcState, SentCommand};
 use asterrill::{FinalAnswer, RpcId, RunEnd, Us};
 
+/// Time after which an answer has reached its requester and the executor treats the RPC as over.
+const ANSWER_DELIVERY_US: Us = 500_000;
+
 impl<ReplyTo: Copy + Ord, Body: AsRef<[u8]>> Engine<ReplyTo, Body> {
     /// Ends a run, with `result` if it was ok.
     pub fn run_ended(
@@ -55,6 +58,24 @@
         Some(reply_to)
     }
 
+    /// Reports whether an RPC may be launched again although it is not known whether its executor has received the first
+    /// launch: its method is idempotent, or the RPC has been over for so long that the executor starts nothing for it.
+    pub fn may_launch_again(&self, id: RpcId) -> bool {
+        let is_over = |answered_at: Us| answered_at + ANSWER_DELIVERY_US <= self.now;
+        let rpc = self.rpcs.get(id);
+        self.control.is_idempotent(id) || rpc.and_then(|rpc| rpc.answered_at).is_some_and(is_over)
+    }
+
+    /// Handles a run that may still wait for the reply with which it was resumed: it continues without the reply or is
+    /// stopped, as the decision module decides.
+    pub fn reply_uncertain(&mut self, now: Us, id: RpcId, out: &mut dyn Outputs<ReplyTo>) {
+        self.advance_to(now);
+        if self.rpcs.state(id) == Some(RpcState::Running(SentCommand::Resume)) {
+            let outcome = self.control.reply_uncertain(self.now, id);
+            self.apply(outcome, out);
+        }
+    }
+
     /// Answers a coalesced RPC with the result of its original; aborts it if there is none.
     pub(crate) fn finish_coalesced(
         &mut self, id: RpcId, result: Option<&[u8]>, out: &mut dyn Outputs<ReplyTo>,
--- a/src/control/inputs.rs
+++ b/src/control/inputs.rs
@@ -42,6 +42,11 @@
         self.handle(now, |control| control.handle_call_end(id, end))
     }
 
+    /// Handles a run that may not have received the reply to its upstream call, and then still waits for it.
+    pub fn reply_uncertain(&mut self, now: Us, id: RpcId) -> Outcome {
+        self.handle(now, |control| control.abandon_reply(id))
+    }
+
     /// Handles a shutdown notice that was received at `noticed_at`. The process will be killed at `kill_at`.
     pub fn drain(&mut self, now: Us, noticed_at: Us, kill_at: Us) -> Outcome {
         self.handle(now, |control| {
--- a/src/control/upstream.rs
+++ b/src/control/upstream.rs
@@ -3,7 +3,7 @@
 use super::state::Control;
 use crate::events::CallEnd;
 use crate::ids::{RpcId, Us};
-use crate::method::Idempotency;
+use crate::method::{Idempotency, StopMode};
 use crate::rpc::{Rpc, Stage};
 use crate::upstream_calls::MAX_CALL_ATTEMPTS;
 use nanorand::Rng;
@@ -47,6 +47,19 @@
         }
     }
 
+    /// Lets a run continue without a reply that it may not have received, or cancels the run if its call can't be skipped.
+    /// The skip has no effect on a run that has received the reply.
+    pub(super) fn abandon_reply(&mut self, id: RpcId) {
+        let Some(rpc) = self.rpcs.get(&id).filter(|rpc| rpc.stage == Stage::Running && !rpc.answered) else {
+            return;
+        };
+        if rpc.skip_value_ratio > 0.0 {
+            self.outcome.skipped_calls.push(id);
+        } else if self.stop_mode != StopMode::Off {
+            self.outcome.cancellations.push(id);
+        }
+    }
+
     /// Reports whether a successful answer to the RPC without its call can still earn any value.
     pub(super) fn can_skip_call(&self, rpc: &Rpc) -> bool {
         rpc.skip_value_ratio > 0.0 && self.now < rpc.useful_until
