A redelivered message without an id is acknowledged only for a run of its own

The messages have no message-id and repeat their content.

Cause: a redelivery without an id was settled like any remembered message of equal content. `redelivered` only says that some consumer had the message, and the broker had long read the settlement that was remembered, so it could never redeliver that message here.

Change: a remembered settlement says whether it was sent and on which channel. It is reused only if it was certainly not sent, as its channel was lost before the run ended. If it was sent on a channel that was lost later, the broker may have read it or not: idempotent messages are run, which is right in both cases, and are no longer remembered; the others are rejected, as they may be lost or run twice otherwise (`redelivered run` runs them). An answered basic.consume or basic.cancel shows that earlier settlements were read. Settlements from memory are remembered too, as they can be lost again.

--- a/consumer/src/channel.rs
+++ b/consumer/src/channel.rs
@@ -55,6 +55,7 @@
     /// Records that the broker confirmed the consumer (`basic.consume-ok`).
     pub fn consume_ok(&mut self, now: Us) {
         if let Subscription::Subscribing { prefetch } = self.subscription {
+            self.request_answered();
             self.subscription = Subscription::Consuming { prefetch };
             self.stats.subscribed += 1;
         }
@@ -64,6 +65,9 @@
     /// Records that the consumer was cancelled, as requested from this side or by the broker.
     pub fn cancelled(&mut self, now: Us, by_broker: bool) {
         let mut consume_at = now;
+        if !by_broker && self.subscription == Subscription::Cancelling {
+            self.request_answered();
+        }
         if by_broker {
             consume_at += self.next_reopen_delay();
             self.stats.cancelled += 1;
@@ -76,6 +80,11 @@
         self.advance(now);
     }
 
+    /// Records that the broker has answered the pending request, so that it has read all settlements sent before it.
+    fn request_answered(&mut self) {
+        self.settled.forget_read(self.channel, self.settled_before_request);
+    }
+
     /// Returns the delay before the next reopening, with jitter. It doubles with each call until a delivery arrives.
     pub(crate) fn next_reopen_delay(&mut self) -> Us {
         let jitter = 0.5 + self.rng.generate::<f64>();
@@ -89,6 +98,7 @@
     /// is joined to them.
     pub(crate) fn channel_lost(&mut self, subscription: Subscription) {
         self.subscription = subscription;
+        self.channel.0 += 1;
         for (id, message) in &mut self.messages {
             self.stats.lost += message.delivery_tags.len() as u64;
             self.unsettled -= message.delivery_tags.len();
--- a/consumer/src/dedup.rs
+++ b/consumer/src/dedup.rs
@@ -48,12 +48,36 @@
     hash.update(bytes);
 }
 
+/// Number of a channel among those on which the queue was consumed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ChannelNumber(pub(crate) u64);
+
+/// How the settlement of a message was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SettlementSending {
+    /// It was not sent, because the channel of its deliveries was lost before.
+    NotSent,
+    /// It was sent on this channel. If the channel is lost, the broker may or may not have read it.
+    SentOn(ChannelNumber),
+}
+
+/// What is known about an earlier delivery to which a redelivery may belong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EarlierSettlement {
+    /// The message was settled in this way, and the redelivery can be settled in the same way.
+    Known(Settlement),
+    /// An equal message has run here, but the broker may have read its settlement, so that the redelivery may be of
+    /// another message.
+    Uncertain,
+}
+
 /// Remembered settlement of one message.
 #[derive(Clone, Copy, Debug)]
 struct SettledEntry {
     sequence: u64,
     expires_at: Us,
     settlement: Settlement,
+    sending: SettlementSending,
 }
 
 /// Sort key of remembered settlements by their expiry.
@@ -100,8 +124,15 @@
         self.by_expiry.len()
     }
 
+    /// Returns the sequence number of the settlement that was remembered last.
+    pub(crate) fn last_sequence(&self) -> u64 {
+        self.last_sequence
+    }
+
     /// Remembers the settlement of a message. For a message with an id, only the first settlement is remembered.
-    pub(crate) fn insert(&mut self, now: Us, identity: MessageIdentity, settlement: Settlement) {
+    pub(crate) fn insert(
+        &mut self, now: Us, identity: MessageIdentity, settlement: Settlement, sending: SettlementSending,
+    ) {
         self.expire(now);
         let already_remembered = identity.has_message_id() && self.by_identity.contains_key(&identity);
         if self.capacity == 0 || already_remembered {
@@ -113,20 +144,57 @@
         self.last_sequence += 1;
         let sequence = self.last_sequence;
         let expires_at = now.saturating_add(self.ttl);
-        self.by_identity.entry(identity).or_default().push(SettledEntry { sequence, expires_at, settlement });
+        self.by_identity.entry(identity).or_default().push(SettledEntry {
+            sequence,
+            expires_at,
+            settlement,
+            sending,
+        });
         self.by_expiry.insert(ExpiryKey { expires_at, sequence, identity });
     }
 
-    /// Returns how a message was settled. For a message without an id, this also removes the entry, because the next
-    /// equal delivery is another message.
-    pub(crate) fn take(&mut self, now: Us, identity: MessageIdentity) -> Option<Settlement> {
+    /// Returns what is known about the earlier delivery of a message that is redelivered on the channel `current`.
+    ///
+    /// For a message without an id, settlements that were not sent come first, and the entry is removed, because the
+    /// next equal delivery is another message. A settlement sent on the current channel is not considered: the broker
+    /// redelivers nothing of a channel that is open.
+    pub(crate) fn take(
+        &mut self, now: Us, identity: MessageIdentity, current: ChannelNumber,
+    ) -> Option<EarlierSettlement> {
         self.expire(now);
-        let SettledEntry { sequence, expires_at, settlement } =
-            self.by_identity.get(&identity)?.first().copied()?;
-        if !identity.has_message_id() {
-            self.remove(ExpiryKey { expires_at, sequence, identity });
+        let entries = self.by_identity.get(&identity)?;
+        if identity.has_message_id() {
+            return entries.first().map(|entry| EarlierSettlement::Known(entry.settlement));
+        }
+        let not_sent = entries.iter().find(|entry| entry.sending == SettlementSending::NotSent);
+        let on_lost_channel = |entry: &&SettledEntry| entry.sending != SettlementSending::SentOn(current);
+        let entry = *not_sent.or_else(|| entries.iter().find(on_lost_channel))?;
+        self.remove(ExpiryKey { expires_at: entry.expires_at, sequence: entry.sequence, identity });
+        Some(match entry.sending {
+            SettlementSending::NotSent => EarlierSettlement::Known(entry.settlement),
+            SettlementSending::SentOn(_) => EarlierSettlement::Uncertain,
+        })
+    }
+
+    /// Forgets the messages without an id whose settlements the broker has read: those sent on this channel, up to a
+    /// sequence number.
+    pub(crate) fn forget_read(&mut self, channel: ChannelNumber, last_sequence: u64) {
+        let is_read = |entry: &&SettledEntry| {
+            entry.sending == SettlementSending::SentOn(channel) && entry.sequence <= last_sequence
+        };
+        let mut read = Vec::new();
+        for (identity, entries) in self.by_identity.iter().filter(|(identity, _)| !identity.has_message_id())
+        {
+            let key = |entry: &SettledEntry| ExpiryKey {
+                expires_at: entry.expires_at,
+                sequence: entry.sequence,
+                identity: *identity,
+            };
+            read.extend(entries.iter().filter(is_read).map(key));
+        }
+        for key in read {
+            self.remove(key);
         }
-        Some(settlement)
     }
 
     fn expire(&mut self, now: Us) {
--- a/consumer/src/intake.rs
+++ b/consumer/src/intake.rs
@@ -2,7 +2,7 @@
 
 use crate::action::{Action, InFlightId, Submission};
 use crate::deadline::deadline;
-use crate::dedup::MessageIdentity;
+use crate::dedup::{EarlierSettlement, MessageIdentity, SettlementSending};
 use crate::message::{Message, MessageState, ReplyAddress};
 use crate::queue::{QueueConsumer, MIN_REOPEN_DELAY_US};
 use crate::routes::{route, Catalog, Route, RouteError};
@@ -114,8 +114,12 @@
     }
 
     /// Joins a delivery to a message in flight or settles it like an earlier delivery, if it is of the same message.
-    /// Returns whether it is. A message without an id must be marked as redelivered for this, and is joined only to a
-    /// message whose own deliveries were lost.
+    /// Returns whether the delivery was handled.
+    ///
+    /// A message without an id must be marked as redelivered for this. It may still be one that another consumer had,
+    /// of equal content. It is therefore joined only to a message whose own delivery was lost, and acknowledged only
+    /// for a run whose acknowledgement was not sent, so that no run acknowledges two messages. One that must not run
+    /// twice is rejected if neither can be ruled out.
     fn settle_or_join_duplicate(
         &mut self, now: Us, identity: MessageIdentity, delivery: &Delivery, idempotency: Idempotency,
     ) -> bool {
@@ -126,8 +130,19 @@
             self.join(now, id, delivery.tag);
             return true;
         }
-        let Some(settlement) = self.settled.take(now, identity) else { return false };
-        self.stats.deduplicated += 1;
+        let settlement = match self.settled.take(now, identity, self.channel) {
+            Some(EarlierSettlement::Known(settlement)) => {
+                self.stats.deduplicated += 1;
+                settlement
+            }
+            Some(EarlierSettlement::Uncertain) if !self.config.run_unverified_redeliveries => {
+                self.stats.unverified += 1;
+                Settlement::Reject
+            }
+            Some(EarlierSettlement::Uncertain) | None => return false,
+        };
+        // This settlement may be lost with its channel as well.
+        self.settled.insert(now, identity, settlement, SettlementSending::SentOn(self.channel));
         self.settle_delivery(delivery.tag, settlement);
         true
     }
--- a/consumer/src/queue.rs
+++ b/consumer/src/queue.rs
@@ -3,7 +3,7 @@
 
 use crate::action::{Action, InFlightId};
 use crate::config::ConsumerConfig;
-use crate::dedup::{MessageIdentity, SettledMessages};
+use crate::dedup::{ChannelNumber, MessageIdentity, SettledMessages};
 use crate::message::Message;
 use crate::prefetch::PrefetchWindow;
 use crate::stats::QueueStats;
@@ -43,6 +43,10 @@
     /// Number of unsettled deliveries.
     pub(crate) unsettled: usize,
     pub(crate) settled: SettledMessages,
+    /// The current channel, or the next one while there is none.
+    pub(crate) channel: ChannelNumber,
+    /// Sequence number of the last settlement that was remembered before the pending request to the broker.
+    pub(crate) settled_before_request: u64,
     pub(crate) draining: bool,
     pub(crate) rng: WyRand,
     pub(crate) actions: VecDeque<Action>,
@@ -67,6 +71,8 @@
             timers: BTreeSet::new(),
             unconfirmed_replies: BTreeMap::new(),
             unsettled: 0,
+            channel: ChannelNumber::default(),
+            settled_before_request: 0,
             draining: false,
             rng: WyRand::new_seed(seed),
             actions: VecDeque::new(),
--- a/consumer/src/settling.rs
+++ b/consumer/src/settling.rs
@@ -1,10 +1,11 @@
 //! Settlement of deliveries, and the drain.
 
 use crate::action::{Action, InFlightId};
+use crate::dedup::SettlementSending;
 use crate::message::{Message, MessageState, OutgoingReply};
 use crate::queue::QueueConsumer;
 use crate::replies::MAX_REPLY_TIME_IN_DRAIN_US;
-use asterrill::Us;
+use asterrill::{Idempotency, Us};
 use asterrill_protocol::amqp::{DeliveryTag, Settlement};
 
 impl QueueConsumer {
@@ -14,18 +15,19 @@
         self.actions.push_back(Action::Settle { tag, settlement });
     }
 
-    /// Removes a message from the table and settles all its deliveries. The settlement is remembered unless the message
-    /// is requeued. Messages are removed only here.
+    /// Removes a message from the table and settles all its deliveries. Messages are removed only here.
     pub(crate) fn settle(&mut self, now: Us, id: InFlightId, settlement: Settlement) {
         let Some(message) = self.messages.remove(&id) else { return };
         self.remove_from_indexes(id, &message);
         self.unsettled -= message.delivery_tags.len();
         self.count_settled(settlement, message.delivery_tags.len());
-        // The settlement of a message without an id is remembered only if the message may be delivered again.
-        let may_be_redelivered =
-            message.identity.has_message_id() || !message.delivery_tags.is_empty() || message.runs > 0;
-        if settlement != Settlement::Requeue && may_be_redelivered {
-            self.settled.insert(now, message.identity, settlement);
+        if settlement != Settlement::Requeue && must_be_remembered(&message) {
+            let sending = if message.delivery_tags.is_empty() {
+                SettlementSending::NotSent
+            } else {
+                SettlementSending::SentOn(self.channel)
+            };
+            self.settled.insert(now, message.identity, settlement, sending);
         }
         let settle = |tag| Action::Settle { tag, settlement };
         self.actions.extend(message.delivery_tags.into_iter().map(settle));
@@ -78,3 +80,10 @@
         self.advance(now);
     }
 }
+
+/// Reports whether the settlement of a message is needed for a redelivery. Without an id it is not if the message has
+/// not run or may run again: running a redelivery is right then, whether it is of this message or of an equal one.
+fn must_be_remembered(message: &Message) -> bool {
+    let must_not_repeat = message.runs > 0 && message.idempotency != Idempotency::Idempotent;
+    message.identity.has_message_id() || must_not_repeat
+}
--- a/consumer/src/tests/components.rs
+++ b/consumer/src/tests/components.rs
@@ -1,7 +1,7 @@
 //! Unit tests of deadlines, the prefetch window and remembered settlements.
 
 use super::harness::{MS, S};
-use crate::dedup::{MessageIdentity, SettledMessages};
+use crate::dedup::{ChannelNumber, EarlierSettlement, MessageIdentity, SettledMessages, SettlementSending};
 use crate::prefetch::{PrefetchSignals, PrefetchWindow};
 use asterrill::Us;
 use asterrill_protocol::amqp::{MessageProperties, Settlement};
@@ -73,26 +73,38 @@
 #[test]
 fn settled_messages_are_bounded_in_number_and_time() {
     let mut settled = SettledMessages::new(10 * S, 100);
+    let (current, later) = (ChannelNumber(1), ChannelNumber(2));
+    let sent = SettlementSending::SentOn(current);
+    let known = |settlement| Some(EarlierSettlement::Known(settlement));
     for n in 0..1_000_u128 {
-        settled.insert(n as Us, MessageIdentity::MessageId(n), Settlement::Ack);
+        settled.insert(n as Us, MessageIdentity::MessageId(n), Settlement::Ack, sent);
     }
     assert_eq!(settled.len(), 100);
     assert_eq!(
         (
-            settled.take(999, MessageIdentity::MessageId(0)),
-            settled.take(999, MessageIdentity::MessageId(950))
+            settled.take(999, MessageIdentity::MessageId(0), later),
+            settled.take(999, MessageIdentity::MessageId(950), later)
         ),
-        (None, Some(Settlement::Ack))
+        (None, known(Settlement::Ack))
     );
-    settled.insert(999, MessageIdentity::MessageId(950), Settlement::Reject);
+    settled.insert(999, MessageIdentity::MessageId(950), Settlement::Reject, sent);
     assert_eq!(
-        settled.take(999, MessageIdentity::MessageId(950)),
-        Some(Settlement::Ack),
+        settled.take(999, MessageIdentity::MessageId(950), later),
+        known(Settlement::Ack),
         "the first settlement is remembered"
     );
-    assert_eq!((settled.take(11 * S, MessageIdentity::MessageId(999)), settled.len()), (None, 0));
-    settled.insert(0, MessageIdentity::Content(1), Settlement::Ack);
-    settled.insert(0, MessageIdentity::Content(1), Settlement::Reject);
-    let settlements = [(); 3].map(|()| settled.take(1, MessageIdentity::Content(1)));
-    assert_eq!((settlements, settled.len()), ([Some(Settlement::Ack), Some(Settlement::Reject), None], 0));
+    assert_eq!((settled.take(11 * S, MessageIdentity::MessageId(999), later), settled.len()), (None, 0));
+    let content = MessageIdentity::Content(1);
+    settled.insert(0, content, Settlement::Ack, SettlementSending::NotSent);
+    settled.insert(0, content, Settlement::Reject, SettlementSending::NotSent);
+    let settlements = [(); 3].map(|()| settled.take(1, content, current));
+    assert_eq!((settlements, settled.len()), ([known(Settlement::Ack), known(Settlement::Reject), None], 0));
+    settled.insert(0, content, Settlement::Ack, sent);
+    assert_eq!(settled.take(1, content, current), None, "nothing of an open channel is redelivered");
+    settled.insert(0, content, Settlement::Reject, SettlementSending::NotSent);
+    let earlier = [(); 3].map(|()| settled.take(1, content, later));
+    assert_eq!(earlier, [known(Settlement::Reject), Some(EarlierSettlement::Uncertain), None]);
+    settled.insert(0, content, Settlement::Ack, sent);
+    settled.forget_read(current, settled.last_sequence());
+    assert_eq!(settled.take(1, content, later), None, "the broker has read the settlement");
 }
--- a/consumer/src/tests/harness.rs
+++ b/consumer/src/tests/harness.rs
@@ -68,6 +68,8 @@
     /// Unsettled messages that were delivered on the current channel, by delivery tag.
     pub(super) unsettled: BTreeMap<DeliveryTag, QueuedMessage>,
     pub(super) settled_tags: BTreeSet<DeliveryTag>,
+    /// Settlements other than requeues that the broker may not have read, as it has answered no request since.
+    pub(super) maybe_unread: Vec<QueuedMessage>,
     /// Settlements other than requeues, by the number of the message.
     pub(super) settlements: BTreeMap<u64, Vec<Settlement>>,
     pub(super) last_tag: u64,
@@ -76,6 +78,8 @@
     pub(super) running: BTreeMap<InFlightId, u64>,
     /// Number of runs, by the number of the message.
     pub(super) runs: BTreeMap<u64, u64>,
+    /// Number of runs that ended ok, by the number of the message.
+    pub(super) completed: BTreeMap<u64, u64>,
     pub(super) reply_requests: Vec<InFlightId>,
     pub(super) publish_sequence: u64,
     pub(super) prefetch: Option<u16>,
@@ -143,11 +147,13 @@
             ready: VecDeque::new(),
             unsettled: BTreeMap::new(),
             settled_tags: BTreeSet::new(),
+            maybe_unread: Vec::new(),
             settlements: BTreeMap::new(),
             last_tag: 0,
             submitted: BTreeMap::new(),
             running: BTreeMap::new(),
             runs: BTreeMap::new(),
+            completed: BTreeMap::new(),
             reply_requests: Vec::new(),
             publish_sequence: 0,
             prefetch: None,
@@ -180,10 +186,12 @@
                 Action::OpenChannel => self.queue.channel_opened(self.now),
                 Action::Consume { prefetch } => {
                     self.prefetch = Some(prefetch);
+                    self.maybe_unread.clear();
                     self.queue.consume_ok(self.now);
                 }
                 Action::Cancel => {
                     self.prefetch = None;
+                    self.maybe_unread.clear();
                     self.queue.cancelled(self.now, false);
                 }
                 Action::Submit(submission) => {
@@ -224,8 +232,19 @@
             self.ready.push_back(message);
         } else {
             self.settlements.entry(message.number).or_default().push(settlement);
+            self.maybe_unread.push(message);
         }
     }
+    /// Puts a message without an id into the queue that another consumer had before.
+    pub(super) fn requeue_from_another_consumer(&mut self, number: u64) {
+        let (has_message_id, wants_reply) = (false, false);
+        self.ready.push_front(QueuedMessage { number, has_message_id, prior_deliveries: 1, wants_reply });
+    }
+    /// Returns how often the broker has read a settlement of messages with this number.
+    pub(super) fn count_settled(&self, number: u64, settlement: Settlement) -> u64 {
+        let settlements = self.settlements.get(&number).into_iter().flatten();
+        settlements.filter(|settled| **settled == settlement).count() as u64
+    }
     /// Puts all unsettled messages back into the queue, to be redelivered.
     pub(super) fn redeliver_unsettled(&mut self) {
         self.prefetch = None;
@@ -234,7 +253,19 @@
             self.ready.push_front(message);
         }
     }
+    /// Loses the connection before the broker has read up to `unread` of the last settlements.
+    pub(super) fn disconnect_with_unread(&mut self, unread: usize) {
+        let read = self.maybe_unread.len().saturating_sub(unread);
+        for mut message in self.maybe_unread.split_off(read) {
+            let settlements = self.settlements.get_mut(&message.number);
+            settlements.and_then(Vec::pop).expect("an unread settlement was recorded");
+            message.prior_deliveries += 1;
+            self.ready.push_front(message);
+        }
+        self.disconnect();
+    }
     pub(super) fn disconnect(&mut self) {
+        self.maybe_unread.clear();
         self.tag_source.0.disconnected();
         self.queue.connection_down();
         self.redeliver_unsettled();
@@ -282,7 +313,8 @@
     }
     /// Ends the oldest run, ok or aborted.
     pub(super) fn end_run(&mut self, ok: bool) {
-        if let Some((id, _)) = self.running.pop_first() {
+        if let Some((id, number)) = self.running.pop_first() {
+            *self.completed.entry(number).or_default() += u64::from(ok);
             let answer = if ok { FinalAnswer::Ok(b"result") } else { FinalAnswer::Aborted };
             self.queue.answered(self.now, id, answer);
             self.carry_out_actions();
--- a/consumer/src/tests/queue.rs
+++ b/consumer/src/tests/queue.rs
@@ -249,6 +249,139 @@
     harness.check();
 }
 
+/// Guards against the acknowledgement, without a run, of a message that another consumer had, because an equal message
+/// has run here.
+#[test]
+fn runs_a_redelivered_message_of_another_consumer_that_equals_one_settled_before() {
+    for (method, reconnects) in [("read", false), ("read", true), ("keyed", false)] {
+        let mut harness = Harness::new(config(method));
+        harness.publish(1, false, false);
+        harness.deliver(1, false);
+        harness.start_run();
+        harness.end_run(true);
+        if reconnects {
+            harness.disconnect();
+            harness.connect();
+        }
+        harness.requeue_from_another_consumer(1);
+        harness.deliver(1, false);
+        assert_eq!(harness.count_settled(1, Settlement::Ack), 1, "{method}: acknowledged without a run");
+        harness.start_run();
+        harness.end_run(true);
+        harness.check();
+        assert_eq!((harness.count_settled(1, Settlement::Ack), harness.runs[&1]), (2, 2), "{method}");
+    }
+}
+
+/// Guards against a second run, and against an acknowledgement without a run, where the broker may or may not have read
+/// the acknowledgement of an equal message.
+#[test]
+fn rejects_a_redelivered_message_that_may_be_one_that_has_run_and_must_not_run_twice() {
+    for (run_unverified_redeliveries, runs, rejected) in [(false, 1, 1), (true, 2, 0)] {
+        let mut harness = Harness::new(ConsumerConfig { run_unverified_redeliveries, ..config("keyed") });
+        harness.publish(1, false, false);
+        harness.deliver(1, false);
+        harness.start_run();
+        harness.end_run(true);
+        harness.disconnect();
+        harness.connect();
+        harness.requeue_from_another_consumer(1);
+        harness.deliver(1, false);
+        harness.start_run();
+        harness.end_run(true);
+        assert_eq!((harness.runs[&1], harness.count_settled(1, Settlement::Reject)), (runs, rejected));
+        assert_eq!(harness.queue.stats.unverified, rejected);
+        // Each remembered run accounts for one redelivery.
+        harness.requeue_from_another_consumer(1);
+        harness.deliver(1, false);
+        assert!(harness.start_run().is_some());
+    }
+}
+
+/// Guards against a second run of a message without an id whose run ended while its channel was lost.
+#[test]
+fn acknowledges_one_redelivery_for_a_run_that_was_not_acknowledged() {
+    let mut harness = Harness::new(config("keyed"));
+    harness.publish(1, false, false);
+    harness.deliver(1, false);
+    harness.start_run();
+    harness.disconnect();
+    harness.end_run(true);
+    harness.connect();
+    harness.deliver(1, false);
+    assert_eq!((harness.count_settled(1, Settlement::Ack), harness.runs[&1]), (1, 1));
+    harness.requeue_from_another_consumer(1);
+    harness.deliver(1, false);
+    assert_eq!(harness.count_settled(1, Settlement::Ack), 1, "acknowledged without a run");
+    assert!(harness.start_run().is_some());
+}
+
+/// Applies random sequences of inputs with messages of equal content, some of which another consumer had before. Checks
+/// that no run acknowledges two messages, and that messages that must not run twice run at most once each.
+fn check_equal_messages(method: &'static str) {
+    let run_covers_one_message = move |steps: Vec<(u8, u16)>| {
+        let mut harness = Harness::new(config(method));
+        let mut messages = [0; 3];
+        let check = |harness: &Harness, messages: &[u64; 3]| {
+            harness.check();
+            for number in 0..3 {
+                let acked = harness.count_settled(number, Settlement::Ack);
+                let completed = harness.completed.get(&number).copied().unwrap_or(0);
+                assert!(acked <= completed, "{acked} of {number} acknowledged for {completed} runs");
+                let runs = harness.runs.get(&number).copied().unwrap_or(0);
+                assert!(method == "read" || runs <= messages[number as usize], "{number} ran twice");
+            }
+        };
+        for (step, n) in steps {
+            let number = u64::from(n % 3);
+            match step % 10 {
+                0 | 1 => {
+                    messages[number as usize] += 1;
+                    harness.publish(number, false, false);
+                }
+                2 => {
+                    messages[number as usize] += 1;
+                    harness.requeue_from_another_consumer(number);
+                }
+                3 | 4 => harness.deliver(1 + n as usize % 4, false),
+                5 => drop(harness.start_run()),
+                6 | 7 => harness.end_run(n % 4 != 0),
+                8 if n % 3 == 0 => {
+                    harness.disconnect_with_unread(n as usize / 3 % 4);
+                    harness.connect();
+                }
+                _ => harness.advance(n as Us % 400 * MS),
+            }
+            check(&harness, &messages);
+        }
+        for _ in 0..1_000 {
+            harness.deliver(4, false);
+            while harness.start_run().is_some() {}
+            harness.end_run(true);
+            harness.advance(20 * MS);
+        }
+        check(&harness, &messages);
+        assert!(harness.ready.is_empty() && harness.unsettled.is_empty(), "a message was never settled");
+    };
+    let mut gen = Gen::from_size_and_seed(160, 46 + method.len() as u64);
+    for _ in 0..60 {
+        run_covers_one_message(quickcheck::Arbitrary::arbitrary(&mut gen));
+    }
+}
+
+#[test]
+fn acknowledges_equal_idempotent_messages_only_for_their_own_runs() {
+    check_equal_messages("read");
+}
+#[test]
+fn acknowledges_equal_messages_with_idempotency_keys_only_for_their_own_runs() {
+    check_equal_messages("keyed");
+}
+#[test]
+fn acknowledges_equal_non_idempotent_messages_only_for_their_own_runs() {
+    check_equal_messages("pay");
+}
+
 #[test]
 fn holds_a_rejected_message_until_its_retry() {
     let mut harness = Harness::new(config("read"));
--- a/consumer/src/timers.rs
+++ b/consumer/src/timers.rs
@@ -70,10 +70,12 @@
             }
             Subscription::Idle { consume_at } if consume_at <= now && wanted > 0 => {
                 self.subscription = Subscription::Subscribing { prefetch: wanted };
+                self.settled_before_request = self.settled.last_sequence();
                 self.actions.push_back(Action::Consume { prefetch: wanted });
             }
             Subscription::Consuming { prefetch } if prefetch != wanted => {
                 self.subscription = Subscription::Cancelling;
+                self.settled_before_request = self.settled.last_sequence();
                 self.actions.push_back(Action::Cancel);
             }
             _ => {}
