The version that a process starts with is logged at once, with hash and reason

Cause: the log thread has not written its lines yet when the process is killed. The restart logged its first version only together with a later change, and with the reason "process start" also if a change was undone.

Change: the first version is logged at the start, with the reason that the file of versions gives ("the configured version was on probation", "... had been rolled back"). The log can't promise the lines of a killed process.

The rollout test checks the reason of the first event.

--- a/daemon/src/change/driver.rs
+++ b/daemon/src/change/driver.rs
@@ -39,6 +39,8 @@
     pub number: u64,
     /// Versions that were rolled back, oldest first.
     pub rolled_back: Vec<RolledBack>,
+    /// Reason for starting with this version.
+    pub reason: &'static str,
 }
 
 /// Applies configuration changes to the dispatcher.
@@ -58,13 +60,18 @@
 }
 
 impl ChangeDriver {
-    /// Creates a driver with its first version, and persists that if there is a store.
-    pub fn new(start: StartVersion, policy: RolloutPolicy, seed: u64, store: Option<Store>) -> ChangeDriver {
-        let StartVersion { content, number, rolled_back } = start;
+    /// Creates a driver with its first version, logs that, and persists it if there is a store.
+    ///
+    /// Log lines of the previous process may have been lost when it was killed, but the version that was kept and the
+    /// reason for it are logged here.
+    pub fn new(
+        start: StartVersion, policy: RolloutPolicy, seed: u64, store: Option<Store>, log: &Logger,
+    ) -> ChangeDriver {
+        let StartVersion { content, number, rolled_back, reason } = start;
         let hash = content.hash();
         let running = Arc::new(RunningContent::new(&content));
-        let driver = ChangeDriver {
-            rollout: Rollout::resume(content, hash, number, rolled_back, now()),
+        let mut driver = ChangeDriver {
+            rollout: Rollout::resume(content, hash, number, rolled_back, reason, now()),
             steps: BTreeMap::new(),
             running,
             baseline: Baseline::default(),
@@ -76,6 +83,7 @@
             store,
         };
         driver.persist();
+        driver.log_events(log);
         driver
     }
 
--- a/daemon/src/deployment.rs
+++ b/daemon/src/deployment.rs
@@ -4,7 +4,7 @@
 use crate::store;
 use asterrill_entries::Configuration;
 use asterrill_operator_config::OperatorConfig;
-use asterrill_rollout::{choose_start, StartDecision};
+use asterrill_rollout::{choose_start, StartDecision, PROCESS_START};
 use asterrill_settings::{Deployment, SettingsError};
 use slog::{info, warn, Logger};
 
@@ -32,13 +32,18 @@
 ) -> StartVersion {
     let configured = VersionContent::new(deployment.configuration.clone(), operator_config, operator_text);
     let Some(dir) = configured.operator_config.changes.state_dir.clone() else {
-        return StartVersion { content: configured, number: 1, rolled_back: Vec::new() };
+        return StartVersion {
+            content: configured,
+            number: 1,
+            rolled_back: Vec::new(),
+            reason: PROCESS_START,
+        };
     };
     // A failure to create the directory is reported by the first write to it.
     std::fs::create_dir_all(&dir).unwrap_or_default();
     match choose_start(&configured.hash(), store::read_versions(&dir, log)) {
         StartDecision::Configured { number, rolled_back } => {
-            StartVersion { content: configured, number, rolled_back }
+            StartVersion { content: configured, number, rolled_back, reason: PROCESS_START }
         }
         StartDecision::LastGood { good, rolled_back, why } => match VersionContent::from_persisted(&good) {
             Ok(content) => {
@@ -47,11 +52,12 @@
                 deployment.memory_mb = globals.memory_mb;
                 deployment.sockets = globals.sockets;
                 deployment.configuration = content.configuration.clone();
-                StartVersion { content, number: good.number, rolled_back }
+                StartVersion { content, number: good.number, rolled_back, reason: why }
             }
             Err(error) => {
                 warn!(log, "the last good version can't be used; starting on the configured one"; "why" => %error);
-                StartVersion { content: configured, number: good.number + 1, rolled_back }
+                let number = good.number + 1;
+                StartVersion { content: configured, number, rolled_back, reason: PROCESS_START }
             }
         },
     }
--- a/daemon/src/startup.rs
+++ b/daemon/src/startup.rs
@@ -146,7 +146,7 @@
     context.start_recovery(&dispatcher, start.content.settings_hash(), cores);
     let store = context.state_dir().map(|dir| Store::start(dir, log)).transpose()?;
     let membership = context.start_membership(&dispatcher, store.clone())?;
-    let changes = ChangeDriver::new(start, policy, deployment.seed, store.clone());
+    let changes = ChangeDriver::new(start, policy, deployment.seed, store.clone(), log);
     let running = changes.running();
     let queue = Arc::new(RequestQueue::default());
     let seed = deployment.seed;
--- a/daemon/src/tests/change.rs
+++ b/daemon/src/tests/change.rs
@@ -10,7 +10,7 @@
 use crate::operator_requests::{PendingCommand, RequestHandler, RequestQueue};
 use crate::shutdown::Shutdown;
 use asterrill_net::{now, spawn, start_worker, Outbox};
-use asterrill_rollout::{SimpleCommand, StageOptions};
+use asterrill_rollout::{SimpleCommand, StageOptions, PROCESS_START};
 use std::sync::Arc;
 
 const POLICY: RolloutPolicy = RolloutPolicy { probation: 600_000 * MS, max_change_factor: 10.0 };
@@ -39,15 +39,14 @@
     let core = Core::new(now(), server, BufferPool::new(500), 4);
     let agent = Outbox::new(&pool, 1 << 16);
     let log = slog::Logger::root(slog::Discard, slog::o!());
+    let driver_log = log.clone();
     let dispatcher =
         Arc::new(Dispatcher::new(core, agent, Vec::new(), 8, u64::MAX, [pool, BufferPool::new(500)], log));
     dispatcher.with(|core, outbound, now| core.start(now, outbound));
     let content =
         VersionContent::new(start.clone(), asterrill_operator_config::OperatorConfig::default(), "");
-    (
-        dispatcher,
-        ChangeDriver::new(StartVersion { content, number: 1, rolled_back: Vec::new() }, POLICY, 1, None),
-    )
+    let start = StartVersion { content, number: 1, rolled_back: Vec::new(), reason: PROCESS_START };
+    (dispatcher, ChangeDriver::new(start, POLICY, 1, None, &driver_log))
 }
 
 fn prepare_change(dispatcher: &Dispatcher, changes: &ChangeDriver, new: &Configuration) -> PreparedChange {
--- a/lab/src/rollout/crash.rs
+++ b/lab/src/rollout/crash.rs
@@ -12,6 +12,8 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+/// Reason for a start with the last good version.
+const ON_PROBATION: &str = "the configured version was on probation";
 const VERSION_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Runs `config-crash`.
@@ -35,6 +37,8 @@
         .rule("the process does not restart on the last good version", wait_for_version(&managed, 1, false));
     let logged = managed.node().read_log().contains("started on the last good version");
     report.rule("the start on the last good version was not logged", logged);
+    let undone = managed.logged_changes().iter().filter(|event| event["why"] == json!(ON_PROBATION)).count();
+    report.rule("the undone change was not logged once with hash and reason at the restart", undone == 1);
     managed.node().signal("HUP");
     std::thread::sleep(Duration::from_millis(300));
     report.rule("the change on probation was applied again", wait_for_version(&managed, 1, false));
--- a/lab/src/rollout/managed_backend.rs
+++ b/lab/src/rollout/managed_backend.rs
@@ -105,17 +105,21 @@
         Ok(())
     }
 
+    /// Returns the changes of the configuration that were logged with hash and reason.
+    pub(super) fn logged_changes(&self) -> Vec<Value> {
+        let is_change = |event: &Value| {
+            event["msg"] == json!("configuration") && event["hash"].is_string() && event["why"].is_string()
+        };
+        let log = self.node().read_log();
+        log.lines().filter_map(|line| serde_json::from_str(line).ok()).filter(is_change).collect()
+    }
+
     /// Shuts the backend down, and checks that it exits with code 0 and that changes were logged.
     pub(super) fn shut_down(mut self, report: &mut Report) {
         self.backend.node.signal("TERM");
         let code = self.backend.node.wait_for_exit(EXIT_TIMEOUT);
         report.rule("asterrilld did not exit with code 0 within 6 s", code == Some(0));
-        let log = self.node().read_log();
-        let is_change = |event: &Value| {
-            event["msg"] == json!("configuration") && event["hash"].is_string() && event["why"].is_string()
-        };
-        let events = log.lines().filter_map(|line| serde_json::from_str(line).ok()).filter(is_change);
-        let events = events.count();
+        let events = self.logged_changes().len();
         report.set("events_logged", json!(events));
         report.rule("fewer than two changes were logged with hash and reason", events > 1);
         if let Some(dir) = self.socket.parent() {
--- a/rollout/src/lib.rs
+++ b/rollout/src/lib.rs
@@ -65,7 +65,9 @@
     MIN_STANDARD_ERRORS, RECENT_SLOTS,
 };
 pub use sample::{MethodCounts, ServiceSample};
-pub use transaction::{Event, EventKind, Phase, Proposal, Rollout, RolloutError, StageOptions};
+pub use transaction::{
+    Event, EventKind, Phase, Proposal, Rollout, RolloutError, StageOptions, PROCESS_START,
+};
 pub use version::{RolledBack, Us, Version, VersionHash};
 pub use version_file::{
     choose_start, recover, version_hash, write_snapshot, DamagedRecord, PendingSteps, PersistedState,
--- a/rollout/src/transaction.rs
+++ b/rollout/src/transaction.rs
@@ -110,6 +110,9 @@
     pub reason: String,
 }
 
+/// Reason for the first version of a process that was not rolled back by a restart.
+pub const PROCESS_START: &str = "process start";
+
 /// State of the running version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -143,13 +146,14 @@
 impl<T: Clone> Rollout<T> {
     /// Creates a rollout that runs version 1.
     pub fn new(content: T, hash: impl Into<VersionHash>, now: Us) -> Rollout<T> {
-        Rollout::resume(content, hash, 1, Vec::new(), now)
+        Rollout::resume(content, hash, 1, Vec::new(), PROCESS_START, now)
     }
 
     /// Creates a rollout after a restart. The version keeps its number, and the rolled back versions are still
-    /// rejected.
+    /// rejected. The first event says that the version was applied, for this reason.
     pub fn resume(
-        content: T, hash: impl Into<VersionHash>, number: u64, rolled_back: Vec<RolledBack>, now: Us,
+        content: T, hash: impl Into<VersionHash>, number: u64, rolled_back: Vec<RolledBack>, reason: &str,
+        now: Us,
     ) -> Rollout<T> {
         let number = number.max(1);
         let running = Version { number, hash: hash.into(), base: number - 1, content };
@@ -165,7 +169,7 @@
             new_events: VecDeque::new(),
             shutting_down: false,
         };
-        rollout.add_event(now, EventKind::Applied, rollout.running.clone(), "process start");
+        rollout.add_event(now, EventKind::Applied, rollout.running.clone(), reason);
         rollout
     }
 
--- a/rollout/tests/rollout/crash_recovery.rs
+++ b/rollout/tests/rollout/crash_recovery.rs
@@ -205,7 +205,8 @@
         (self.good, self.probation, self.rolled_back) = (expected, None, remembered);
         let remembered: Vec<_> = self.rolled_back.iter().map(|version| version.rolled_back()).collect();
         assert_eq!(rolled_back, remembered);
-        self.rollout = Rollout::resume(started.clone(), started.hash(), started.number, rolled_back, 0);
+        self.rollout =
+            Rollout::resume(started.clone(), started.hash(), started.number, rolled_back, PROCESS_START, 0);
         self.written = None;
     }
     fn expected_state(&self) -> (ModelVersion, Option<ModelVersion>, Vec<ModelVersion>) {
--- a/rollout/tests/rollout/version_file.rs
+++ b/rollout/tests/rollout/version_file.rs
@@ -133,12 +133,16 @@
     assert_eq!(start(&version_c().persisted().hash(), state(&a, Some(&b), &[&b])), ("configured", 2));
     assert_eq!(number(choose_start(&version_c().persisted().hash(), None)), ("configured", 1));
     // A version that was on probation at a crash is rejected afterwards.
-    let StartDecision::LastGood { good, rolled_back, .. } =
+    let StartDecision::LastGood { good, rolled_back, why } =
         choose_start(&hash_b, Some(state(&a, Some(&b), &[])))
     else {
         panic!()
     };
-    let mut resumed = Rollout::resume(good.clone(), good.hash(), good.number, rolled_back, 0);
+    let mut resumed = Rollout::resume(good.clone(), good.hash(), good.number, rolled_back, why, 0);
+    // Log lines of the killed process may be lost, so that the restart has to report the reason.
+    let first = resumed.take_events().remove(0);
+    assert_eq!((first.version, &*first.hash), (1, &*hash_a));
+    assert_eq!(first.reason, "the configured version was on probation");
     let proposal = |version: &ModelVersion| {
         let content = version.persisted();
         Proposal { hash: content.hash(), content, base: None, options: StageOptions::default() }
