All calls of an RPC use different connections, so that copies are recognised

A second copy of DONE gives a run the reply to an earlier call.

Cause: a reply names only the RPC, and a call avoided only the link of the RPC's call just before it.

Change: the engine keeps the open connections of an RPC's calls, and none is used twice while it is open. A connection that has ended brings no copy. An RPC that has used all links has its earliest one closed once that has no call in flight, and connected again, so that few descriptors cost no call.

Tests: second_copy_of_a_reply_is_not_taken_for_the_reply_to_any_later_call fails on the code before with "UpstreamLinkId(0) was used again while a copy may still arrive on it". The other tests of links are changed in their types only.

--- a/daemon/src/core/engine_outputs.rs
+++ b/daemon/src/core/engine_outputs.rs
@@ -4,7 +4,7 @@
 use crate::ids::Requester;
 use crate::outbound::Outbound;
 use asterrill::{FinalAnswer, MethodId, RpcId, Us};
-use asterrill_engine::{AnsweredRpc, Outputs, UpstreamLinkId};
+use asterrill_engine::{AnsweredRpc, Outputs, UpstreamConnectionId, UpstreamLinkId};
 
 /// Receiver of the engine's outputs during one input.
 pub(super) struct EngineOutputs<'a> {
@@ -75,14 +75,21 @@
     }
 
     fn send_call(
-        &mut self, previous: Option<UpstreamLinkId>, id: RpcId, timeout: Us, body: &[u8],
+        &mut self, used: &mut Vec<UpstreamConnectionId>, id: RpcId, timeout: Us, body: &[u8],
     ) -> Option<UpstreamLinkId> {
-        let link = self.state.upstream_links.select(previous)?;
-        if !self.outbound.send_call(link, id, timeout, body) {
+        let links = &mut self.state.upstream_links;
+        links.remove_ended(used);
+        let Some(selected) = links.select(used) else {
+            links.renew_used(used, self.outbound);
+            return None;
+        };
+        if !self.outbound.send_call(selected.link, id, timeout, body) {
             return None;
         }
-        self.state.upstream_links.call_placed(link);
-        Some(link)
+        links.call_placed(selected.link);
+        used.push(selected);
+        links.renew_used(used, self.outbound);
+        Some(selected.link)
     }
 
     fn cancel_call(&mut self, link: UpstreamLinkId, id: RpcId) {
--- a/daemon/src/tests/upstream_links.rs
+++ b/daemon/src/tests/upstream_links.rs
@@ -73,24 +73,59 @@
 }
 
 #[test]
-fn next_call_of_an_rpc_never_takes_the_same_link() {
+fn next_call_of_an_rpc_never_takes_the_same_connection() {
     use crate::upstream::UpstreamLinks;
     let (mut links, mut peers) = (UpstreamLinks::new(2), FakePeers::default());
-    let first = links.select(None).unwrap();
-    links.call_placed(first);
+    let first = links.select(&[]).unwrap();
+    links.call_placed(first.link);
     // The reply has arrived; a duplicate may follow.
-    links.call_finished(first, false, &mut peers);
-    let other = links.select(Some(first)).unwrap();
-    assert_ne!(first, other);
+    links.call_finished(first.link, false, &mut peers);
+    let other = links.select(&[first]).unwrap();
+    assert_ne!(first.link, other.link);
     // The other link has ended. It backs off, and queues calls until it is connected again.
-    links.disconnected(other);
-    links.calls_drained(other);
-    assert_eq!(links.select(Some(first)), Some(other), "not the link of the previous call");
-    links.backoff_ended(other);
+    links.disconnected(other.link);
+    links.calls_drained(other.link);
+    let next = links.select(&[first]).map(|connection| connection.link);
+    assert_eq!(next, Some(other.link), "not the link of the previous call");
+    links.backoff_ended(other.link);
     // The other link is being closed, so no link is usable.
-    links.retire(other, &mut peers);
-    assert_eq!(links.select(Some(first)), None);
-    assert_eq!(links.select(None), Some(first), "usable for other RPCs");
+    links.retire(other.link, &mut peers);
+    assert_eq!(links.select(&[first]), None);
+    assert_eq!(links.select(&[]), Some(first), "usable for other RPCs");
+}
+
+/// Guards against the second copy of a reply that is taken for the reply to a later call: a non-idempotent call is then
+/// made twice.
+#[test]
+fn second_copy_of_a_reply_is_not_taken_for_the_reply_to_any_later_call() {
+    for end in [CallEnd::Rejected, CallEnd::Ok] {
+        let (mut harness, _) = with_calls_in_flight(24, 1);
+        let (id, first) = harness.peers.calls.iter().next().map(|(id, link)| (*id, *link)).unwrap();
+        let mut used = BTreeSet::from([first]);
+        // The harness has four links. Links are renewed once an RPC has used all of them.
+        for _ in 0..8 {
+            harness.end_call(0, CallEnd::Ok);
+            harness.advance_run(1, true);
+            harness.deliver_notices(1);
+            for link in std::mem::take(&mut harness.peers.closed_links) {
+                used.remove(&link);
+                harness.core.link_ended(harness.now, link, false, &mut harness.peers);
+                harness.core.link_backoff_ended(link);
+            }
+            let link = harness.peers.calls[&id];
+            assert!(used.insert(link), "{link:?} was used again while a copy may still arrive on it");
+            for earlier in used.iter().filter(|earlier| **earlier != link) {
+                let late_before = harness.core.stats().late_replies;
+                harness.core.call_ended(harness.now, *earlier, id, end, b"copy", &mut harness.peers);
+                assert_eq!(harness.core.stats().late_replies, late_before + 1);
+            }
+            assert_eq!(harness.peers.calls.get(&id), Some(&link), "the call was ended by a copy");
+        }
+        harness.end_call(0, CallEnd::Ok);
+        harness.advance_run(1, false);
+        harness.deliver_notices(1);
+        harness.check_invariants();
+    }
 }
 
 #[test]
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -1,12 +1,14 @@
 //! Selection of upstream links for calls, and retirement of links.
 
 use crate::outbound::Outbound;
-use asterrill_engine::UpstreamLinkId;
+use asterrill_engine::{UpstreamConnectionId, UpstreamLinkId};
 use std::cmp::Reverse;
 
 /// State of a link that is relevant to the placement of calls.
 #[derive(Clone, Copy, Debug, Default)]
 struct LinkState {
+    /// The number of its current or next connection.
+    connection: u64,
     calls_in_flight: usize,
     /// The sequence number of the last call placed on it.
     last_call: u64,
@@ -19,9 +21,10 @@
 
 /// Links to the upstream tier.
 ///
-/// A call has a link of its own while there are enough, so that a reply that breaks the link affects no other call. The
-/// next call of the same RPC uses another link, so that a late or duplicate reply can't be mistaken for the reply to
-/// that call. Among idle links the most recently used one is preferred, so that the others may be closed.
+/// A call has a link of its own while there are enough, so that a reply that breaks the link affects no other call. All
+/// calls of one RPC use different connections: replies name only the RPC, so that a late or duplicate reply could be
+/// mistaken for the reply to a later call on the same connection. Among idle links the most recently used one is
+/// preferred, so that the others may be closed.
 pub struct UpstreamLinks {
     links: Vec<LinkState>,
     calls_placed: u64,
@@ -33,17 +36,45 @@
         UpstreamLinks { links: vec![LinkState::default(); count], calls_placed: 0 }
     }
 
-    /// Returns the link for a call of an RPC whose previous call used the link `previous`.
+    /// Returns the connection for a call of an RPC whose earlier calls used the connections in `used`.
     ///
-    /// The result is never `previous` itself, because a duplicate reply may still arrive there. Returns `None` if no
-    /// other link is usable at present.
-    pub fn select(&self, previous: Option<UpstreamLinkId>) -> Option<UpstreamLinkId> {
-        let links = self.links.iter().enumerate().map(|(index, link)| (UpstreamLinkId(index), link));
-        let usable = links.filter(|(id, link)| !link.closing && !link.retired && Some(*id) != previous);
-        let preference = |(_, link): &(UpstreamLinkId, &LinkState)| {
+    /// The result is never one of these. Returns `None` if no other connection is usable at present.
+    pub fn select(&self, used: &[UpstreamConnectionId]) -> Option<UpstreamConnectionId> {
+        let preference = |(_, link): &(UpstreamConnectionId, &LinkState)| {
             (link.backing_off, link.calls_in_flight, Reverse(link.last_call))
         };
-        usable.min_by_key(preference).map(|(id, _)| id)
+        self.usable(used).min_by_key(preference).map(|(connection, _)| connection)
+    }
+
+    /// Returns the connections on which an RPC can be called whose earlier calls used the connections in `used`.
+    fn usable<'a>(
+        &'a self, used: &'a [UpstreamConnectionId],
+    ) -> impl Iterator<Item = (UpstreamConnectionId, &'a LinkState)> {
+        let connections = self.links.iter().enumerate().map(|(index, link)| {
+            (UpstreamConnectionId { link: UpstreamLinkId(index), connection: link.connection }, link)
+        });
+        connections.filter(|(connection, link)| !link.closing && !link.retired && !used.contains(connection))
+    }
+
+    /// Removes the connections that have ended.
+    pub fn remove_ended(&self, used: &mut Vec<UpstreamConnectionId>) {
+        used.retain(|connection| self.is_current(*connection));
+    }
+
+    fn is_current(&self, connection: UpstreamConnectionId) -> bool {
+        self.links.get(connection.link.0).is_some_and(|link| link.connection == connection.connection)
+    }
+
+    /// Retires the link of the earliest of these connections, used by one RPC, if no other connection is left for its
+    /// next call. Links without calls in flight are preferred, as they are connected again at once.
+    pub fn renew_used(&mut self, used: &[UpstreamConnectionId], outbound: &mut dyn Outbound) {
+        if self.usable(used).next().is_some() {
+            return;
+        }
+        let links = used.iter().map(|connection| connection.link);
+        if let Some(link) = links.min_by_key(|link| self.has_calls(*link)) {
+            self.retire(link, outbound);
+        }
     }
 
     /// Records that a call was sent on this link.
@@ -70,6 +101,7 @@
     /// Records that a link has ended. It backs off, and the caller ends its calls next.
     pub fn disconnected(&mut self, id: UpstreamLinkId) {
         if let Some(link) = self.links.get_mut(id.0) {
+            link.connection += 1;
             link.backing_off = true;
             link.retired = true;
             link.closing = false;
--- a/engine/src/calls.rs
+++ b/engine/src/calls.rs
@@ -34,9 +34,9 @@
         self.stats.calls += 1;
         let expires_at = self.now + timeout + REPLY_GRACE_US;
         let body = rpc.body.as_ref().map(Body::as_ref);
-        let link = body.and_then(|body| out.send_call(rpc.last_link, id, timeout, body));
+        let used = &mut rpc.used_connections;
+        let link = body.and_then(|body| out.send_call(used, id, timeout, body));
         rpc.state = RpcState::Calling(PendingCall { link, expires_at });
-        rpc.last_link = link.or(rpc.last_link);
         if link.is_some() {
             self.call_timeouts.insert(CallTimeout { at: expires_at, id });
         } else {
--- a/engine/src/intake.rs
+++ b/engine/src/intake.rs
@@ -39,7 +39,7 @@
             original: None,
             state: RpcState::Queued,
             body: Some(body),
-            last_link: None,
+            used_connections: Vec::new(),
             upstream_failed: false,
         });
         self.submit(id, out);
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -76,6 +76,6 @@
 pub use config::{CopyBody, EngineConfig, RetentionLimits};
 pub use engine::Engine;
 pub use idempotency::IdempotencyKey;
-pub use outputs::{AnsweredRpc, Outputs, UpstreamLinkId};
+pub use outputs::{AnsweredRpc, Outputs, UpstreamConnectionId, UpstreamLinkId};
 pub use request::{Command, IncomingRpc};
 pub use stats::EngineStats;
--- a/engine/src/outputs.rs
+++ b/engine/src/outputs.rs
@@ -6,6 +6,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct UpstreamLinkId(pub usize);
 
+/// One connection of a link to the upstream tier, assigned by the owner of the links. The copy of a reply can arrive only
+/// on the connection of its call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpstreamConnectionId {
+    /// Link that the connection belongs to.
+    pub link: UpstreamLinkId,
+    /// Number of the connection among those of its link.
+    pub connection: u64,
+}
+
 /// RPC that was answered, with any result.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnsweredRpc {
@@ -38,10 +48,12 @@
     fn run_completed(&mut self, reply_to: ReplyTo);
     /// Requests a sample of the gauges, to be passed to [`crate::Engine::gauges_sampled`].
     fn request_gauges(&mut self);
-    /// Sends an upstream call with a timeout in microseconds. `previous` is the link of the RPC's previous call.
+    /// Sends an upstream call with a timeout in microseconds, on a connection that is not in `used`: those of the earlier
+    /// calls of this RPC. Connections that have ended are removed from `used`, and that of this call is added.
+    ///
     /// Returns the link that the call was sent on, or none if it is certain that the call was not sent.
     fn send_call(
-        &mut self, previous: Option<UpstreamLinkId>, id: RpcId, timeout: Us, body: &[u8],
+        &mut self, used: &mut Vec<UpstreamConnectionId>, id: RpcId, timeout: Us, body: &[u8],
     ) -> Option<UpstreamLinkId>;
     /// Cancels a call that no run waits for.
     fn cancel_call(&mut self, link: UpstreamLinkId, id: RpcId);
--- a/engine/src/rpc.rs
+++ b/engine/src/rpc.rs
@@ -1,6 +1,6 @@
 //! State of one open RPC.
 
-use crate::outputs::UpstreamLinkId;
+use crate::outputs::{UpstreamConnectionId, UpstreamLinkId};
 use crate::request::{Command, IncomingRpc};
 use asterrill::{RpcId, Us};
 
@@ -17,8 +17,8 @@
     pub(crate) state: RpcState,
     /// Body of the RPC at first, later that of its last upstream call, then the reply to that call.
     pub(crate) body: Option<Body>,
-    /// Link of its last upstream call.
-    pub(crate) last_link: Option<UpstreamLinkId>,
+    /// Open connections of its upstream calls so far. A second copy of a reply may still arrive on each.
+    pub(crate) used_connections: Vec<UpstreamConnectionId>,
     /// Whether one of its upstream calls has failed or timed out.
     pub(crate) upstream_failed: bool,
 }
--- a/engine/src/tests/harness.rs
+++ b/engine/src/tests/harness.rs
@@ -2,7 +2,8 @@
 //! decides when runs end.
 
 use crate::{
-    AnsweredRpc, Engine, EngineConfig, IdempotencyKey, IncomingRpc, Outputs, RetentionLimits, UpstreamLinkId,
+    AnsweredRpc, Engine, EngineConfig, IdempotencyKey, IncomingRpc, Outputs, RetentionLimits,
+    UpstreamConnectionId, UpstreamLinkId,
 };
 use asterrill::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -134,9 +135,10 @@
     fn run_completed(&mut self, _: u64) {}
     fn request_gauges(&mut self) {}
     fn send_call(
-        &mut self, previous: Option<UpstreamLinkId>, id: RpcId, _: Us, _: &[u8],
+        &mut self, used: &mut Vec<UpstreamConnectionId>, id: RpcId, _: Us, _: &[u8],
     ) -> Option<UpstreamLinkId> {
-        let link = UpstreamLinkId(previous.map_or(0, |link| link.0 + 1));
+        let link = UpstreamLinkId(used.len());
+        used.push(UpstreamConnectionId { link, connection: 1 });
         if !self.calls_fail && self.calls.insert(id, link).is_some() {
             self.violations.push(format!("{id:?}: two concurrent calls"));
         }
