--- a/daemon/src/dispatcher/eviction.rs
+++ b/daemon/src/dispatcher/eviction.rs
@@ -139,15 +139,37 @@
     }
 }
 
-/// Returns the least useful idle connections, `excess` at most.
+/// Returns the idle ones among the least useful connections, `excess` at most.
 fn least_useful(core: &Core, outboxes: &Outboxes, excess: usize, now: Us) -> Vec<ConnectionId> {
-    let mut candidates: Vec<_> =
-        outboxes.sidecars.iter().filter(|(conn, _)| !core.has_pending_answers(**conn)).collect();
-    candidates.retain(|(_, sidecar)| sidecar.goaway_sent_at.is_none() && sidecar.is_idle_when_scarce(now));
-    candidates.sort_by_cached_key(|(conn, sidecar)| {
-        (sidecar.idle_class(core.is_verified(**conn), now), sidecar.last_used())
-    });
-    candidates.into_iter().take(excess).map(|(conn, _)| *conn).collect()
+    let unused = outboxes
+        .sidecars
+        .iter()
+        .filter(|(conn, sidecar)| sidecar.goaway_sent_at.is_none() && !core.has_pending_answers(**conn));
+    let candidate = |(conn, sidecar): (&ConnectionId, &SidecarConnectionState)| UnusedConnection {
+        class: sidecar.idle_class(core.is_verified(*conn), now),
+        last_used: sidecar.last_used(),
+        conn: *conn,
+        is_idle: sidecar.is_idle_when_scarce(now),
+    };
+    select_least_useful(unused.map(candidate).collect(), excess)
+}
+
+/// Connection without pending answers. Less useful connections come first in the order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct UnusedConnection {
+    class: IdleClass,
+    last_used: Us,
+    conn: ConnectionId,
+    /// Whether it has been idle for long enough to be closed when free slots are scarce.
+    is_idle: bool,
+}
+
+/// Returns the idle ones among the `excess` least useful connections.
+///
+/// A less useful connection that is not idle yet is not replaced by a more useful one: a later sweep closes it.
+fn select_least_useful(mut unused: Vec<UnusedConnection>, excess: usize) -> Vec<ConnectionId> {
+    unused.sort_unstable();
+    unused.into_iter().take(excess).filter(|unused| unused.is_idle).map(|unused| unused.conn).collect()
 }
 
 /// Closes upstream links that are idle or whose partial reply was not completed in time.
@@ -165,3 +187,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/eviction.rs"]
+mod tests;
--- a/daemon/src/dispatcher/sidecar_connection.rs
+++ b/daemon/src/dispatcher/sidecar_connection.rs
@@ -25,7 +25,7 @@
 }
 
 /// Usefulness of an idle connection, in ascending order; the least useful are closed first.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum IdleClass {
     /// No frame was received, although there was time to send one.
     Silent,
