An id that is used again no longer hangs the loop over expired results

Cause: ResponseCache::register replaced the entry of the id and left its expiry behind. Removing the expired id then removes the new entry's expiry, never the old one, which stays first.

Change: an earlier entry of the id is removed from all indexes first.

Test: expires_a_result_whose_id_was_used_again; on the code before it fails at its first check (the first read is still found under its key). That check stops before the loop, which would hang.

--- a/engine/src/response_cache.rs
+++ b/engine/src/response_cache.rs
@@ -46,8 +46,10 @@
         self.entries.get(id).filter(|entry| entry.expires_at > now).map(|_| *id)
     }
 
-    /// Registers an open read as the one that later reads with the same key wait for, if there is capacity.
+    /// Registers an open read as the one that later reads with the same key wait for, if there is capacity. A read that
+    /// ended under the same id is removed.
     pub(crate) fn register(&mut self, key: CacheKey, id: RpcId) {
+        self.remove(id);
         if self.entries.len() < MAX_ENTRIES {
             self.by_key.insert(key, id);
             self.entries.insert(id, Entry { key, expires_at: Us::MAX, result: None });
--- a/engine/src/tests/mod.rs
+++ b/engine/src/tests/mod.rs
@@ -2,3 +2,4 @@
 
 mod engine;
 mod harness;
+mod response_cache;
