Breaks in quick succession don't extend the wait for a notice about an uncertain command

Cause, by reading: each new link set the time of the last message about the run anew, so that links that break sooner than the longest latency target left a run whose reply was lost waiting until its deadline. The time of the command counts now. run_whose_reply_is_lost_skips_its_call_or_is_stopped breaks the link every 250 ms, with a target of 400 ms.

--- a/daemon/src/agent_session.rs
+++ b/daemon/src/agent_session.rs
@@ -347,7 +347,6 @@
         let mut unreceived = UnreceivedMessages::default();
         for (id, run) in &mut self.runs {
             if run.may_be_lost(self.link) {
-                run.last_activity = now;
                 let commands = if run.command_link == NO_LINK {
                     &mut unreceived.unsent
                 } else {
--- a/daemon/src/tests/agent_link.rs
+++ b/daemon/src/tests/agent_link.rs
@@ -67,8 +67,11 @@
         harness.deliver_notices(1);
         harness.peers.agent_unreachable = true;
         harness.end_call(0, CallEnd::Ok);
-        harness.reconnect_agent();
-        harness.advance(750 * MS);
+        // Links that break sooner than a notice is missed don't extend the wait.
+        for _ in 0..3 {
+            harness.reconnect_agent();
+            harness.advance(250 * MS);
+        }
         harness.advance_run(1, false);
         harness.deliver_notices(9);
         harness.check_invariants();
