A client of the control socket waits for a slot that is about to be released

Cause, by a trace of the answers: "too many clients: at most 4 are served at a time", to a client that sends one request after the other. The slot of a client that has disconnected is released only when the thread that serves it runs next, and under load four such threads have not run yet.

Change: a client waits up to 1 s for a slot before it is rejected.

Test: client_waits_for_the_slot_of_one_that_disconnects; without the wait it fails, as the client is rejected at once. It also requires the rejection while four clients stay connected.

--- a/daemon/src/control_socket.rs
+++ b/daemon/src/control_socket.rs
@@ -18,10 +18,13 @@
 const MAX_REQUEST_BYTES: u64 = 4 * 1024 * 1024;
 /// Size from which on a request counts as long. Only one long request is read and handled at a time.
 const LONG_REQUEST_BYTES: u64 = 512 * 1024;
-/// Interval between checks whether another long request has completed.
-const LONG_REQUEST_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval between checks whether another long request has completed, or a client's slot was released.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum number of clients that are served at a time.
 const MAX_CLIENTS: usize = 4;
+/// Time for which a client waits for a slot. The slot of a client that has disconnected is released only when the thread
+/// that serves it runs next.
+const SLOT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time within which a client must send a complete request, and within which it must read the reply.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay before the next attempt after a failure to accept a connection.
@@ -102,7 +105,7 @@
     }
 
     fn accept(&self, stream: UnixStream) {
-        let Some(slot) = ClientSlot::try_acquire(&self.clients) else {
+        let Some(slot) = ClientSlot::acquire(&self.clients, SLOT_TIMEOUT) else {
             let why = format!("too many clients: at most {MAX_CLIENTS} are served at a time");
             drop(send(&stream, &Reply::Rejected(Rejection::new(why))));
             return;
@@ -139,6 +142,18 @@
 struct ClientSlot(Arc<AtomicUsize>);
 
 impl ClientSlot {
+    /// Waits for a slot; returns none if there is none within `timeout`.
+    fn acquire(clients: &Arc<AtomicUsize>, timeout: Duration) -> Option<ClientSlot> {
+        let deadline = Instant::now() + timeout;
+        loop {
+            let slot = ClientSlot::try_acquire(clients);
+            if slot.is_some() || Instant::now() >= deadline {
+                return slot;
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+
     fn try_acquire(clients: &Arc<AtomicUsize>) -> Option<ClientSlot> {
         let slot = ClientSlot(clients.clone());
         let previous = clients.fetch_add(1, Ordering::AcqRel);
@@ -194,7 +209,7 @@
             if bytes.len() as u64 >= LONG_REQUEST_BYTES && permit.is_none() {
                 permit = LongRequestPermit::try_acquire(self.long_request_active);
                 if permit.is_none() && !remaining.is_zero() {
-                    std::thread::sleep(LONG_REQUEST_POLL_INTERVAL);
+                    std::thread::sleep(POLL_INTERVAL);
                     continue;
                 }
                 if permit.is_none() {
--- a/daemon/src/tests/control_socket.rs
+++ b/daemon/src/tests/control_socket.rs
@@ -133,3 +133,27 @@
     assert!(send_request(&path, &long).contains("\"ok\":true"), "the permit was not released");
     std::fs::remove_file(&path).unwrap();
 }
+
+/// Guards against the rejection of a client because the threads of clients that have disconnected have not run yet.
+#[test]
+fn client_waits_for_the_slot_of_one_that_disconnects() {
+    let path = std::env::temp_dir().join(format!("asterrilld-slots-{}", std::process::id()));
+    std::fs::remove_file(&path).unwrap_or_default();
+    let handler: Handler = Arc::new(|request| json!({"ok": true, "request": format!("{request:?}")}).into());
+    listen(&path, handler, &Logger::root(slog::Discard, slog::o!())).unwrap();
+    let status = b"{\"v\": 1, \"do\": \"status\"}\n";
+    let mut served: Vec<UnixStream> = (0..MAX_CLIENTS).map(|_| UnixStream::connect(&path).unwrap()).collect();
+    for client in &mut served {
+        client.write_all(status).unwrap();
+        BufReader::new(client).read_line(&mut String::new()).unwrap();
+    }
+    let rejected = send_request(&path, status);
+    assert!(rejected.contains("too many clients"), "{rejected}");
+    let (at, request) = (path.clone(), status.to_vec());
+    let waiting = std::thread::spawn(move || send_request(&at, &request));
+    std::thread::sleep(Duration::from_millis(100));
+    served.pop();
+    let reply = waiting.join().unwrap();
+    assert!(reply.contains("Status"), "{reply}");
+    std::fs::remove_file(&path).unwrap();
+}
