The fake agent accepts a repeated launch or skip only after a link was lost

The change of the agent's link had made two checks of the fake agent looser without saying so. A skip that names another call than the pending one was a violation; it was let pass after any lost link. A second launch of a run that had ended was one; it was let pass for every RPC that is over.

--- a/daemon/src/tests/fake_peers.rs
+++ b/daemon/src/tests/fake_peers.rs
@@ -19,6 +19,8 @@
     pub(super) pending_call: Option<(u64, Vec<u8>)>,
     pub(super) ended: bool,
     pub(super) stopped: bool,
+    /// The number of the link on which it was launched.
+    pub(super) launch_link: u32,
     /// The number of the link on which its last reply arrived.
     pub(super) reply_link: Option<u32>,
 }
@@ -105,7 +107,8 @@
             self.record_violation("launched with a wrong body or method", id);
         }
         let run = self.runs.get(&id);
-        if self.over.contains(&id) && run.is_none_or(|run| run.ended) {
+        let launched_before = |run: &Run| run.ended && run.launch_link < self.agent_links;
+        if self.over.contains(&id) && run.is_none_or(launched_before) {
             return self.push_notice(Notice::Ended(id, RunEnd::NotStarted, vec![]));
         }
         match run {
@@ -116,7 +119,13 @@
             Some(run) if run.ended || !self.allows_resends => self.record_violation("launched twice", id),
             Some(_) => {}
             None => {
-                let run = Run { pending_call: None, ended: false, stopped: false, reply_link: None };
+                let run = Run {
+                    pending_call: None,
+                    ended: false,
+                    stopped: false,
+                    launch_link: self.agent_links,
+                    reply_link: None,
+                };
                 self.runs.insert(id, run);
             }
         }
@@ -154,9 +163,12 @@
         if run.pending_call.take_if(|(number, _)| *number == notice.0).is_some() {
             return;
         }
-        // A skip of an earlier call has no effect. It is expected only after a link was lost.
+        // A skip of an earlier call of the run has no effect. It is expected only after a link was lost.
         let reply_uncertain = run.reply_link.is_some_and(|link| link < self.agent_links);
-        if !self.allows_resends && !reply_uncertain {
+        let number = (notice.0 as usize).checked_sub(1);
+        let named = number.and_then(|index| self.notices.get(index));
+        let is_earlier_call = matches!(named, Some(Notice::CallNeeded(of, _)) if *of == id);
+        if !is_earlier_call || !self.allows_resends && !reply_uncertain {
             self.record_violation("skipped a call that was not requested", id);
         }
     }
