A barred retry of an RPC that has run gets its result, and is never run itself

Callers saw: once a tenant, caller or method is barred, the retry of an RPC with an idempotency key that has run is rejected, which says that nothing ran.

Cause: the agreed lists were asked before the table of idempotency keys.

Change: a denied RPC is accepted only if its key has an attempt that has run or is about to run, and is marked as denied. It waits for that attempt or gets its result. If the attempt never runs, for example because its caller left while it was queued, the retry is rejected where it would have been submitted again.

The stub of the agent knows the name of the third method, which only tests that configure it send.

--- a/daemon/src/core/sidecar_rpcs.rs
+++ b/daemon/src/core/sidecar_rpcs.rs
@@ -22,12 +22,15 @@
             return Err(SidecarFault::TooManyStreams);
         }
         let requester = Requester::Sidecar(from);
-        if self.is_denied(&request) {
+        let denied = self.is_denied(&request);
+        let rpc = self.resolve_rpc(now, from.conn, &request, body).map(|rpc| IncomingRpc { denied, ..rpc });
+        let is_retry = rpc.as_ref().is_some_and(|rpc| self.engine.is_retry(rpc));
+        if denied && !is_retry {
             self.state.stats.denied_by_policy += 1;
             self.with_engine(now, outbound, |engine, now, outputs| engine.reject(now, requester, outputs));
             return Ok(());
         }
-        let Some(rpc) = self.resolve_rpc(now, from.conn, &request, body) else {
+        let Some(rpc) = rpc else {
             self.abort_unserviceable(now, from, outbound);
             return Ok(());
         };
@@ -94,6 +97,7 @@
             cache_key: keys.cache,
             coalescible,
             idempotency_key: keys.idempotency,
+            denied: false,
         })
     }
 
--- a/daemon/src/queues/actions.rs
+++ b/daemon/src/queues/actions.rs
@@ -89,6 +89,7 @@
         cache_key: None,
         coalescible: false,
         idempotency_key: None,
+        denied: false,
     };
     QueueRequest::Submit { rpc, delivery: submission.id, body }
 }
--- a/daemon/src/tests/fake_peers.rs
+++ b/daemon/src/tests/fake_peers.rs
@@ -103,7 +103,7 @@
         if self.agent_unreachable {
             return;
         }
-        if self.bodies.get(&id).is_none_or(|b| b != body) || (method != "look" && method != "book") {
+        if self.bodies.get(&id).is_none_or(|b| b != body) || !["look", "book", "pay"].contains(&method) {
             self.record_violation("launched with a wrong body or method", id);
         }
         let run = self.runs.get(&id);
--- a/engine/src/intake.rs
+++ b/engine/src/intake.rs
@@ -24,14 +24,13 @@
     ) -> Result<(), IntakeError> {
         self.advance_to(now);
         let id = request.id;
-        let arrived_at = self.now.saturating_sub(request.read_delay);
         if self.is_known(id) {
             return Err(IntakeError::IdInUse);
         }
         if self.rpcs.unanswered(reply_to).is_some() {
             return Err(IntakeError::RequesterInUse);
         }
-        if self.idempotency.is_full() && self.has_new_idempotency_key(&request, arrived_at) {
+        if self.idempotency.is_full() && request.idempotency_key.is_some() && !self.is_retry(&request) {
             self.stats.idempotency_keys_full += 1;
             self.reject(now, reply_to, out);
             return Ok(());
@@ -42,6 +41,7 @@
             return Ok(());
         };
         self.stats.requests += 1;
+        let arrived_at = self.arrival_time(&request);
         self.rpcs.insert(OpenRpc {
             reply_to,
             request,
@@ -62,8 +62,14 @@
         self.rpcs.contains(id) || self.response_cache.contains(id) || self.idempotency.contains(id)
     }
 
-    fn has_new_idempotency_key(&self, request: &IncomingRpc, arrived_at: Us) -> bool {
-        request.idempotency_key.is_some_and(|key| self.idempotency.original(key, arrived_at).is_none())
+    fn arrival_time(&self, request: &IncomingRpc) -> Us {
+        self.now.saturating_sub(request.read_delay)
+    }
+
+    /// Reports whether an RPC that arrives now repeats one that has run or is about to run.
+    pub fn is_retry(&self, request: &IncomingRpc) -> bool {
+        let arrived_at = self.arrival_time(request);
+        request.idempotency_key.is_some_and(|key| self.idempotency.original(key, arrived_at).is_some())
     }
 
     /// Submits a queued RPC to the decision module, together with the RPC that it duplicates.
@@ -76,6 +82,10 @@
             (None, Some(key)) => self.response_cache.original(key, self.now),
             (None, None) => None,
         };
+        if request.denied && original.is_none() {
+            let rejection = FinalAnswer::Rejected { terminal: true, retry_after: 0 };
+            return self.answer(id, rejection, out);
+        }
         let arrival = Arrival {
             id,
             method: request.method,
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -27,6 +27,8 @@
     pub coalescible: bool,
     /// Key shared by all attempts of an RPC that must take effect only once.
     pub idempotency_key: Option<IdempotencyKey>,
+    /// Whether it is denied: it may get the result of an earlier attempt with its idempotency key, but is never run.
+    pub denied: bool,
 }
 
 /// Last command sent to the executor of a run, to be resent over a new connection.
--- a/engine/src/tests/engine.rs
+++ b/engine/src/tests/engine.rs
@@ -157,6 +157,7 @@
         cache_key: None,
         coalescible: false,
         idempotency_key: Some(IdempotencyKey(u128::from(n).to_be_bytes())),
+        denied: false,
     };
     let mut n = 0;
     while harness.engine.stats.idempotency_keys_full == 0 {
@@ -222,6 +223,7 @@
         cache_key: None,
         coalescible: false,
         idempotency_key: None,
+        denied: false,
     };
     let reused_id = harness.engine.request_received(0, 77, request(id, 1), b"", &mut harness.recorder);
     assert_eq!(reused_id, Err(IntakeError::IdInUse));
--- a/engine/src/tests/harness.rs
+++ b/engine/src/tests/harness.rs
@@ -199,6 +199,7 @@
             cache_key: None,
             coalescible: false,
             idempotency_key: key,
+            denied: false,
         };
         self.deadlines.insert(requester, self.now + timeout);
         let accepted =
--- a/engine/src/tests/reused_ids.rs
+++ b/engine/src/tests/reused_ids.rs
@@ -117,6 +117,7 @@
             cache_key: Some(u64::from(key)).filter(|_| !keyed),
             coalescible: !keyed,
             idempotency_key: Some(IdempotencyKey([key; 16])).filter(|_| keyed),
+            denied: false,
         };
         let body = format!("{keyed} {key}").into_bytes();
         self.peers.accepted.insert(requester, (body.clone(), self.peers.now));
