A settled version stays over a restart until a file of the process changes

Operators saw: a change that was applied by the control socket and settled is gone after the next start, which takes the settings of the configuration file again, without a probation and without a word.

Cause: choose_start took every file whose hash is not that of the last good version for a new one; what had been read before was recorded nowhere.

Change: the hash of the two files that were last read and taken into account is kept in the state directory, written after the version that they state, so that a crash between the two uses the file. An unchanged file leaves its part of the settled version in force, a changed one is used, each by itself: an edited operator's file does not take the settled settings away. Undone versions and those on probation are decided first, as before. Without the record, as at the first start of this build, the files win.

Tests: a table of the choice, and one of the store. The tests of the choice that stood pass `None` for what was read before and are otherwise unchanged.

--- a/daemon/src/change/driver.rs
+++ b/daemon/src/change/driver.rs
@@ -14,8 +14,8 @@
 use asterrill_entries::Change;
 use asterrill_net::now;
 use asterrill_rollout::{
-    Baseline, Loss, PersistedState, Phase, ProbationMonitor, Proposal, RolledBack, Rollout, SimpleCommand,
-    StageOptions, Verdict, Version,
+    hash_with_entries, Baseline, Loss, PersistedState, Phase, ProbationMonitor, Proposal, RolledBack,
+    Rollout, SimpleCommand, StageOptions, Verdict, Version, VersionHash,
 };
 use asterrill_settings::{Deployment, SettingsError};
 use slog::{info, warn, Logger};
@@ -41,6 +41,8 @@
     pub rolled_back: Vec<RolledBack>,
     /// Reason for starting with this version.
     pub reason: &'static str,
+    /// Hash of the files that the process has read.
+    pub files: VersionHash,
 }
 
 /// Applies configuration changes to the dispatcher.
@@ -56,6 +58,8 @@
     next_sample: Us,
     policy: RolloutPolicy,
     seed: u64,
+    /// Hash of the files that were read last and taken into account.
+    files: VersionHash,
     pub(super) store: Option<Store>,
 }
 
@@ -67,7 +71,7 @@
     pub fn new(
         start: StartVersion, policy: RolloutPolicy, seed: u64, store: Option<Store>, log: &Logger,
     ) -> ChangeDriver {
-        let StartVersion { content, number, rolled_back, reason } = start;
+        let StartVersion { content, number, rolled_back, reason, files } = start;
         let hash = content.hash();
         let running = Arc::new(RunningContent::new(&content));
         let mut driver = ChangeDriver {
@@ -80,6 +84,7 @@
             next_sample: now(),
             policy,
             seed,
+            files,
             store,
         };
         driver.persist();
@@ -157,14 +162,23 @@
         prepared: Option<Result<PreparedChange, Rejection>>, pause: &mut SlicePause<'_>,
     ) {
         let running = &self.rollout.running().content.configuration;
-        if deployment.configuration.digest() == running.digest() {
-            return;
+        let entries = deployment.configuration.digest();
+        if entries == running.digest() {
+            return self.record_file(&entries.to_string());
         }
         if let Err(rejection) = self.reload_changed(dispatcher, deployment, prepared, pause) {
             dispatcher.with(|core, _, _| core.stats_mut().changes_refused += 1);
             warn!(dispatcher.log, "settings unchanged";
                 "why" => rejection.error, "problems" => %serde_json::json!(rejection.problems));
+            return;
         }
+        self.record_file(&entries.to_string());
+    }
+
+    /// Records that a configuration file with these entries was read and taken into account.
+    fn record_file(&mut self, entries: &str) {
+        self.files = hash_with_entries(&self.files, entries);
+        self.persist();
     }
 
     fn reload_changed(
@@ -349,11 +363,12 @@
         let good = self.rollout.last_good();
         let running = self.rollout.running();
         let on_probation = running.number != good.number;
-        store.save_versions(PersistedState {
+        let state = PersistedState {
             good: good.content.to_persisted(good.number),
             probation: on_probation.then(|| running.content.to_persisted(running.number)),
             rolled_back: self.rollout.rolled_back().cloned().collect(),
-        });
+        };
+        store.save_versions(state, self.files.clone());
     }
 
     /// Logs each new event with the reason for it, and removes the steps of versions that are no longer pending.
--- a/daemon/src/store/checksummed.rs
+++ b/daemon/src/store/checksummed.rs
@@ -47,7 +47,9 @@
 }
 
 /// Reads and parses a text; returns `None` if the file does not exist.
-fn read_parsed<T>(path: &Path, parse: impl FnOnce(&str) -> Result<T, String>) -> Result<Option<T>, String> {
+pub(super) fn read_parsed<T>(
+    path: &Path, parse: impl FnOnce(&str) -> Result<T, String>,
+) -> Result<Option<T>, String> {
     // One byte more than the limit is read, so that a text that is too long is detected.
     let text = durable_file::read_text(path, MAX_TEXT_BYTES as u64 + 1).map_err(|e| e.to_string())?;
     text.map(|text| parse(&text)).transpose()
--- a/daemon/src/store/writer.rs
+++ b/daemon/src/store/writer.rs
@@ -5,20 +5,27 @@
 
 use super::checksummed::{write_learned, write_members};
 use super::consensus::{append_consensus, OnDurable};
+use super::files_read::FilesRead;
 use super::versions::VersionsFile;
 use asterrill_consensus::DiskWrite;
 use asterrill_recovery::Snapshot;
-use asterrill_rollout::PersistedState;
+use asterrill_rollout::{PersistedState, VersionHash};
 use slog::{warn, Logger};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 
+/// Versions, and the hash of the files that the process has read.
+struct PendingVersions {
+    state: PersistedState,
+    files: VersionHash,
+}
+
 /// States that wait to be written.
 #[derive(Default)]
 struct PendingWrites {
-    versions: Option<PersistedState>,
+    versions: Option<PendingVersions>,
     learned: Option<Snapshot>,
     members: Option<String>,
     /// Writes of a voter, in this order.
@@ -78,6 +85,7 @@
             dir: dir.to_path_buf(),
             log: log.clone(),
             versions: VersionsFile::default(),
+            files: FilesRead::default(),
             consensus_failed: false,
             last_reported_failures: 0,
         };
@@ -90,8 +98,8 @@
     /// Only the last queued state is written. The steps appended for it lead from the content of the file to that
     /// state, so that no change is lost or written twice. The cost to the caller does not grow with the size of the
     /// version.
-    pub fn save_versions(&self, state: PersistedState) {
-        self.0.update(|pending| pending.versions = Some(state));
+    pub fn save_versions(&self, state: PersistedState, files: VersionHash) {
+        self.0.update(|pending| pending.versions = Some(PendingVersions { state, files }));
     }
 
     /// Queues learned values to be written. Only the last queued values are written.
@@ -124,6 +132,7 @@
     dir: PathBuf,
     log: Logger,
     versions: VersionsFile,
+    files: FilesRead,
     /// Whether a write of the voter's file has failed, so that the file may end in an incomplete record.
     consensus_failed: bool,
     /// Number of failures at the last report. Reports are logged at the first, second, fourth failure and so on, so
@@ -143,7 +152,10 @@
     fn write(&mut self, pending: PendingWrites) -> [io::Result<()>; 4] {
         let dir = &self.dir;
         let versions = match pending.versions {
-            Some(state) => self.versions.write(dir, state),
+            Some(PendingVersions { state, files }) => {
+                // The hash of the files must not be on disk before a version that they state.
+                self.versions.write(dir, state).and_then(|()| self.files.write(dir, files))
+            }
             None => Ok(()),
         };
         let learned = pending.learned.map_or(Ok(()), |learned| write_learned(dir, &learned));
--- a/daemon/src/tests/change.rs
+++ b/daemon/src/tests/change.rs
@@ -45,7 +45,8 @@
     dispatcher.with(|core, outbound, now| core.start(now, outbound));
     let content =
         VersionContent::new(start.clone(), asterrill_operator_config::OperatorConfig::default(), "");
-    let start = StartVersion { content, number: 1, rolled_back: Vec::new(), reason: PROCESS_START };
+    let files = content.hash();
+    let start = StartVersion { content, number: 1, rolled_back: Vec::new(), reason: PROCESS_START, files };
     (dispatcher, ChangeDriver::new(start, POLICY, 1, None, &driver_log))
 }
 
--- a/daemon/src/tests/store.rs
+++ b/daemon/src/tests/store.rs
@@ -100,7 +100,7 @@
     let reported = Arc::new(AtomicU64::new(0));
     let counter = reported.clone();
     let on_durable: Arc<OnDurable> = Arc::new(move |_| counter.store(1, Ordering::Relaxed));
-    store.save_versions(state(2, None));
+    store.save_versions(state(2, None), "f".into());
     store.save_consensus(
         vec![asterrill_consensus::DiskWrite { number: 1, bytes: vec![1; 64], replace: false }],
         &on_durable,
@@ -110,7 +110,7 @@
     assert_eq!(reported.load(Ordering::Relaxed), 0);
     // Once there is space again, the next state is written.
     std::fs::remove_file(dir.join("versions.new")).unwrap();
-    store.save_versions(state(2, Some(3)));
+    store.save_versions(state(2, Some(3)), "f".into());
     wait_until(|| read_versions(&dir, &discarding_log()) == Some(state(2, Some(3))));
     std::fs::remove_dir_all(dir).unwrap();
 }
@@ -183,7 +183,7 @@
     let dir = temp_dir("many");
     let store = Store::start(&dir, &discarding_log()).unwrap();
     for number in 1..500 {
-        store.save_versions(state(number, Some(number + 1)));
+        store.save_versions(state(number, Some(number + 1)), "f".into());
     }
     wait_until(|| read_versions(&dir, &discarding_log()) == Some(state(499, Some(500))));
     assert_eq!(store.failed_writes(), 0);
@@ -232,11 +232,35 @@
     std::fs::remove_dir_all(dir).unwrap();
 }
 
+#[test]
+fn files_that_were_read_are_recorded_once_and_never_before_their_version() {
+    let dir = temp_dir("files-read");
+    std::fs::create_dir_all(&dir).unwrap();
+    assert_eq!(read_files_read(&dir, &discarding_log()), None);
+    let store = Store::start(&dir, &discarding_log()).unwrap();
+    for (number, files) in [(1, "first"), (2, "second")] {
+        store.save_versions(state(number, None), files.into());
+        wait_until(|| read_files_read(&dir, &discarding_log()).as_deref() == Some(files));
+        assert_eq!(read_versions(&dir, &discarding_log()), Some(state(number, None)));
+    }
+    // A version that can't be written leaves the record of the files as it was.
+    let versions = dir.join(VERSIONS_FILE);
+    std::fs::remove_file(&versions).unwrap();
+    std::fs::create_dir(&versions).unwrap();
+    store.save_versions(state(3, None), "third".into());
+    wait_until(|| store.failed_writes() > 0);
+    assert_eq!(read_files_read(&dir, &discarding_log()).as_deref(), Some("second"));
+    // A damaged record is not used.
+    std::fs::write(dir.join("files-read"), "second\n").unwrap();
+    assert_eq!(read_files_read(&dir, &discarding_log()), None);
+    std::fs::remove_dir_all(dir).unwrap();
+}
+
 #[test]
 fn failed_writes_to_an_unwritable_directory_are_counted() {
     let store = Store::start(Path::new("/proc/nowhere"), &discarding_log()).unwrap();
-    store.save_versions(state(1, None));
+    store.save_versions(state(1, None), "f".into());
     wait_until(|| store.failed_writes() > 0);
-    store.save_versions(state(2, None));
+    store.save_versions(state(2, None), "f".into());
     wait_until(|| store.failed_writes() > 1);
 }
--- a/lab/src/rollout/good_change.rs
+++ b/lab/src/rollout/good_change.rs
@@ -1,4 +1,5 @@
-//! Scenario `config-good`: a good change of the same keys, with a jump in load for odd seeds.
+//! Scenario `config-good`: a good change of the same keys, with a jump in load for odd seeds. The settled version stays
+//! over a restart, until the file of the configuration changes.
 
 use super::managed_backend::{accepted, check_framed, ManagedBackend};
 use crate::load::{in_time, run_load, RateSpan};
@@ -13,6 +14,8 @@
 
 const SETTLEMENT_TIMEOUT: Duration = Duration::from_secs(30);
 const PROBATION_US: u64 = 8_000_000;
+/// Deadline of a method in a file that is changed before a restart.
+const CHANGED_DEADLINE_MS: u64 = 777;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// End of a probation.
@@ -23,7 +26,7 @@
 
 /// Runs `config-good`.
 pub fn good_change(report: &mut Report, seed: u64, rate: f64) -> Result<(), ScenarioError> {
-    let managed = ManagedBackend::start(seed + 1_000, false)?;
+    let mut managed = ManagedBackend::start(seed + 1_000, false)?;
     let never_stopped = AtomicBool::new(false);
     let address = managed.node().address;
     let before = run_load(address, &FRAMED_METHODS, &[RateSpan::new(ms(4_000), rate)], seed, &never_stopped)?;
@@ -61,10 +64,29 @@
     report.set("in_time_during", json!(in_time(&during, &FRAMED_METHODS)));
     check_framed(report, &[&before, &during]);
     managed.check_versions(report)?;
+    check_restarts(report, &mut managed)?;
     managed.shut_down(report);
     Ok(())
 }
 
+/// Restarts the process with the file as it was, and then with another one.
+fn check_restarts(report: &mut Report, managed: &mut ManagedBackend) -> Result<(), ScenarioError> {
+    let settled = managed.status()?;
+    managed.backend.node.kill_and_restart()?;
+    let restarted = managed.status()?;
+    let kept = ["version", "hash"].iter().all(|field| restarted[field] == settled[field]);
+    report.rule("a settled version was replaced at a restart by the file that it had replaced", kept);
+    let path = managed.node().dir.join("config.json");
+    let mut file: Value = serde_json::from_str(&std::fs::read_to_string(&path)?)?;
+    file["settings"]["Categories"][1]["DeadlineMs"] = json!(CHANGED_DEADLINE_MS);
+    std::fs::write(&path, file.to_string())?;
+    managed.backend.node.kill_and_restart()?;
+    let restarted = managed.status()?;
+    let used = restarted["version"] == json!(3) && restarted["hash"] != settled["hash"];
+    report.rule("a file that had changed was not used at a restart", used);
+    Ok(())
+}
+
 fn changed_settings(managed: &ManagedBackend, seed: u64) -> Value {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut settings = managed.setup.settings();
--- a/rollout/src/lib.rs
+++ b/rollout/src/lib.rs
@@ -70,7 +70,7 @@
 };
 pub use version::{RolledBack, Us, Version, VersionHash};
 pub use version_file::{
-    choose_start, recover, version_hash, write_snapshot, DamagedRecord, PendingSteps, PersistedState,
-    PersistedVersion, RecordError, Recovered, StartDecision, VersionFileError, WrittenFile,
-    MAX_OPERATOR_FILE_BYTES, MIN_COMPACTION_BYTES,
+    choose_start, hash_with_entries, recover, version_hash, write_snapshot, DamagedRecord, KeptParts,
+    PendingSteps, PersistedState, PersistedVersion, RecordError, Recovered, StartDecision, VersionFileError,
+    WrittenFile, MAX_OPERATOR_FILE_BYTES, MIN_COMPACTION_BYTES,
 };
--- a/rollout/src/version_file.rs
+++ b/rollout/src/version_file.rs
@@ -36,11 +36,13 @@
 //! | `entry_reader` | incremental parsing of the entries in a body |
 //! | `snapshot_reader`, `step_reader` | parsing of one record |
 //! | `recover` | parsing of a complete file after any crash |
+//! | `hash_parts` | parts of a version hash, and which files have changed since they were read before |
 //! | `start` | the version that a process starts with |
 
 mod entry_reader;
 mod error;
 mod format;
+mod hash_parts;
 mod recover;
 mod snapshot;
 mod snapshot_reader;
@@ -51,6 +53,7 @@
 
 pub use error::{RecordError, VersionFileError};
 pub use format::MAX_OPERATOR_FILE_BYTES;
+pub use hash_parts::{hash_with_entries, KeptParts};
 pub use recover::{recover, DamagedRecord, Recovered};
 pub use snapshot::{write_snapshot, WrittenFile, MIN_COMPACTION_BYTES};
 pub use start::{choose_start, StartDecision};
--- a/rollout/src/version_file/start.rs
+++ b/rollout/src/version_file/start.rs
@@ -1,5 +1,6 @@
 //! Choice of the version that a process starts with.
 
+use super::hash_parts::KeptParts;
 use super::state::{PersistedState, PersistedVersion};
 use crate::version::{remember_rolled_back, RolledBack};
 
@@ -13,8 +14,20 @@
         /// Versions that were rolled back, the oldest first.
         rolled_back: Vec<RolledBack>,
     },
-    /// The process starts with the last good version, because its configuration file was on probation when the previous
-    /// process ended, or had been rolled back.
+    /// The process starts with a part of the last good version, whose file has not changed since it was read before, and
+    /// with the other file, which has.
+    Merged {
+        /// Last good version.
+        good: PersistedVersion,
+        /// Parts of it that stay.
+        kept: KeptParts,
+        /// Version number of the result.
+        number: u64,
+        /// Versions that were rolled back, the oldest first.
+        rolled_back: Vec<RolledBack>,
+    },
+    /// The process starts with the last good version, because its files were on probation when the previous process
+    /// ended, had been rolled back, or have not changed since that version replaced what they state.
     LastGood {
         /// Last good version.
         good: PersistedVersion,
@@ -25,8 +38,11 @@
     },
 }
 
-/// Chooses the version to start with from the hash of the configuration file and the persisted state.
-pub fn choose_start(configured: &str, persisted: Option<PersistedState>) -> StartDecision {
+/// Chooses the version to start with from the hash of the files of the process, the hash of the files that it had read
+/// before, and the persisted state.
+pub fn choose_start(
+    configured: &str, read_before: Option<&str>, persisted: Option<PersistedState>,
+) -> StartDecision {
     let Some(PersistedState { good, probation, mut rolled_back }) = persisted else {
         // Without a good version there is nothing to roll back to.
         return StartDecision::Configured { number: 1, rolled_back: Vec::new() };
@@ -46,5 +62,15 @@
         let why = "the configured version was on probation";
         return StartDecision::LastGood { good, rolled_back, why };
     }
-    StartDecision::Configured { number: good.number + 1, rolled_back }
+    let kept = KeptParts::since(read_before, configured);
+    let merged = kept.merged_hash(&good, configured);
+    let number = good.number + 1;
+    if *merged == *good.hash() {
+        let why = "the files have not changed since it replaced what they state";
+        return StartDecision::LastGood { good, rolled_back, why };
+    }
+    if *merged == *configured {
+        return StartDecision::Configured { number, rolled_back };
+    }
+    StartDecision::Merged { good, kept, number, rolled_back }
 }
--- a/rollout/tests/rollout/crash_recovery.rs
+++ b/rollout/tests/rollout/crash_recovery.rs
@@ -176,7 +176,7 @@
             assert_eq!(found.state.rolled_back, remembered);
         }
         let content = configured.persisted();
-        let start = choose_start(&content.hash(), found.map(|found| found.state));
+        let start = choose_start(&content.hash(), None, found.map(|found| found.state));
         let (expected, as_configured) = match on_disk {
             Some((good, probation, rolled_back)) => {
                 expected_start(configured, good, probation.as_ref(), rolled_back)
@@ -188,6 +188,7 @@
                 (PersistedVersion { number, ..content }, rolled_back, true)
             }
             StartDecision::LastGood { good, rolled_back, .. } => (good, rolled_back, false),
+            StartDecision::Merged { .. } => panic!("merged without files that were read before"),
         };
         assert_eq!((ModelVersion::of(&started), is_configured), (expected.clone(), as_configured));
         self.counts.fell_back += u32::from(!is_configured);
@@ -254,7 +255,7 @@
                 let (old_good, old_probation, old_rolled_back) = on_disk.clone().unwrap();
                 let old = expected_start(&configured, &old_good, old_probation.as_ref(), &old_rolled_back);
                 let new = expected_start(&configured, &good, probation.as_ref(), &rolled_back);
-                let start = choose_start(&configured.persisted().hash(), Some(found.state));
+                let start = choose_start(&configured.persisted().hash(), None, Some(found.state));
                 // If the states before and after the write both fall back to the last good version, so do the states
                 // between them.
                 let fell_back = matches!(start, StartDecision::LastGood { .. });
--- a/rollout/tests/rollout/version_file.rs
+++ b/rollout/tests/rollout/version_file.rs
@@ -88,7 +88,7 @@
     assert_eq!(damage, format!("record 1 at byte {}: base version 2 is missing", text.len()));
     // It is unknown whether version 3 was good, so the process does not start with it.
     assert!(
-        matches!(choose_start(&version_c().persisted().hash(), Some(found.state)), StartDecision::LastGood { good, .. } if good.number == 1)
+        matches!(choose_start(&version_c().persisted().hash(), None, Some(found.state)), StartDecision::LastGood { good, .. } if good.number == 1)
     );
 
     // A base with the right number but other content is detected by the hash.
@@ -105,6 +105,7 @@
         StartDecision::LastGood { good, .. } => {
             (if ModelVersion::of(&good).has_content_of(&version_a()) { "good" } else { "other" }, good.number)
         }
+        StartDecision::Merged { number, .. } => ("merged", number),
     };
     let (a, b) = (version_a(), version_b());
     let (hash_a, hash_b) = (a.persisted().hash(), b.persisted().hash());
@@ -114,7 +115,7 @@
     let at = text.len();
     append(&mut text, written, &state(&a, Some(&b), &[]));
     for cut in at..=text.len() {
-        let start = choose_start(&hash_b, Some(recovered(&text.as_bytes()[..cut]).state));
+        let start = choose_start(&hash_b, None, Some(recovered(&text.as_bytes()[..cut]).state));
         // If the step is cut short, the change was never applied, and b counts as a new configuration file.
         assert_eq!(
             number(start),
@@ -122,7 +123,7 @@
             "cut at {cut}"
         );
     }
-    let start = |configured: &str, state| number(choose_start(configured, Some(state)));
+    let start = |configured: &str, state| number(choose_start(configured, None, Some(state)));
     // The probation was confirmed.
     assert_eq!(start(&hash_b, state(&b, None, &[])), ("configured", 2));
     // The version was rolled back, with and without the probation still in the state.
@@ -131,10 +132,10 @@
     assert_eq!(start(&hash_a, state(&a, Some(&b), &[&b])), ("configured", 1));
     // A configuration file that was edited while no process ran is started with.
     assert_eq!(start(&version_c().persisted().hash(), state(&a, Some(&b), &[&b])), ("configured", 2));
-    assert_eq!(number(choose_start(&version_c().persisted().hash(), None)), ("configured", 1));
+    assert_eq!(number(choose_start(&version_c().persisted().hash(), None, None)), ("configured", 1));
     // A version that was on probation at a crash is rejected afterwards.
     let StartDecision::LastGood { good, rolled_back, why } =
-        choose_start(&hash_b, Some(state(&a, Some(&b), &[])))
+        choose_start(&hash_b, None, Some(state(&a, Some(&b), &[])))
     else {
         panic!()
     };
@@ -186,3 +187,40 @@
         "{appended} {length}"
     );
 }
+
+/// Guards against the loss of a version that an operator applied and settled, at a restart with unchanged files.
+#[test]
+fn settled_version_stays_until_a_file_changes() {
+    let file_version =
+        |tenants: &[(&'static str, u32)], file: &'static str| ModelVersion::new(1, tenants, file).persisted();
+    let read = file_version(&[("nile", 1)], "one");
+    let settled = PersistedVersion { number: 4, ..file_version(&[("nile", 2)], "two") };
+    let start = |configured: &PersistedVersion, read_before: Option<&PersistedVersion>| {
+        let read_before = read_before.map(PersistedVersion::hash);
+        let state = PersistedState { good: settled.clone(), probation: None, rolled_back: Vec::new() };
+        match choose_start(&configured.hash(), read_before.as_deref(), Some(state)) {
+            StartDecision::Configured { number, .. } => ("configured", number, KeptParts::default()),
+            StartDecision::LastGood { good, .. } => ("good", good.number, KeptParts::default()),
+            StartDecision::Merged { kept, number, .. } => ("merged", number, kept),
+        }
+    };
+    let none_kept = KeptParts::default();
+    assert_eq!(start(&read, Some(&read)), ("good", 4, none_kept));
+    // It is not known whether the files have changed.
+    assert_eq!(start(&read, None), ("configured", 5, none_kept));
+    assert_eq!(start(&settled, Some(&read)), ("configured", 4, none_kept));
+    let both_changed = file_version(&[("nile", 3)], "three");
+    assert_eq!(start(&both_changed, Some(&read)), ("configured", 5, none_kept));
+    let entries_changed = file_version(&[("nile", 3)], "one");
+    let operator_file_kept = KeptParts { entries: false, operator_file: true };
+    assert_eq!(start(&entries_changed, Some(&read)), ("merged", 5, operator_file_kept));
+    let operator_file_changed = file_version(&[("nile", 1)], "three");
+    let entries_kept = KeptParts { entries: true, operator_file: false };
+    assert_eq!(start(&operator_file_changed, Some(&read)), ("merged", 5, entries_kept));
+    // The file was changed to what was settled, or was removed.
+    assert_eq!(start(&file_version(&[("nile", 1)], "two"), Some(&read)), ("good", 4, none_kept));
+    assert_eq!(start(&file_version(&[("nile", 1)], ""), Some(&read)), ("merged", 5, entries_kept));
+    // The configuration file was read again since.
+    let read_again = hash_with_entries(&read.hash(), &file_version(&[("nile", 3)], "").hash());
+    assert_eq!(read_again, entries_changed.hash());
+}
