The run of a message that waits for a call is stopped once its delivery is given up

Seen: 40 messages whose runs call an upstream that never answers are rejected by their deadline, and all 40 runs wait for the call ever after. 40 RPCs stay open with their memory booked, and a shutdown waits for them in vain.

Cause: a run that waits for a call is left alone once its RPC is over.

Change: an RPC says whether its executor learns of its end elsewhere. Where it does not, which is so for messages, a run that waits for a call is stopped when its RPC is over, by its deadline, a failed call or a withdrawal. Runs on a core were stopped already. With a StopMode of off nothing is stopped.

A test of the engine; it can't be built on the code before, for want of the field.

The lab reads a counter from the last line of counters, the process's own first: queues have counters of the same names.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 	target/release/asterrill-lab amqp-redeliver --messages 2000 --json
 	target/release/asterrill-lab amqp-drain --json
 	target/release/asterrill-lab amqp-odd --json
+	target/release/asterrill-lab amqp-silent --json
 	target/release/asterrill-lab amqp-rate --messages 20000 --json
 	target/release/asterrill-lab amqp-lost --seed 1 --json
 	target/release/asterrill-lab fleet-return --seed 0 --kind most --nodes 5 --json
--- a/daemon/src/core/sidecar_rpcs.rs
+++ b/daemon/src/core/sidecar_rpcs.rs
@@ -98,6 +98,7 @@
             coalescible,
             idempotency_key: keys.idempotency,
             denied: false,
+            stop_when_over: false,
         })
     }
 
--- a/daemon/src/queues/actions.rs
+++ b/daemon/src/queues/actions.rs
@@ -90,6 +90,7 @@
         coalescible: false,
         idempotency_key: None,
         denied: false,
+        stop_when_over: true,
     };
     QueueRequest::Submit { rpc, delivery: submission.id, body }
 }
--- a/engine/src/answers.rs
+++ b/engine/src/answers.rs
@@ -44,8 +44,19 @@
             RpcState::Calling(call) => {
                 rpc.state = RpcState::NeedsCall;
                 self.abandon_call(id, call, false, out);
+                self.stop_waiting_run(id, out);
             }
-            RpcState::Running(_) | RpcState::NeedsCall => {}
+            RpcState::NeedsCall => self.stop_waiting_run(id, out),
+            RpcState::Running(_) => {}
+        }
+    }
+
+    /// Stops the run of an RPC that is over. It waits for an upstream call that is not made any more, and would wait for
+    /// good.
+    fn stop_waiting_run(&self, id: RpcId, out: &mut dyn Outputs<ReplyTo>) {
+        let must_stop = self.rpcs.get(id).is_some_and(|rpc| rpc.request.stop_when_over);
+        if must_stop && self.control.can_stop_runs() {
+            out.stop(id);
         }
     }
 }
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -29,6 +29,9 @@
     pub idempotency_key: Option<IdempotencyKey>,
     /// Whether it is denied: it may get the result of an earlier attempt with its idempotency key, but is never run.
     pub denied: bool,
+    /// Whether its executor does not learn from elsewhere that it is over, so that a run which waits for an upstream call
+    /// has to be stopped then.
+    pub stop_when_over: bool,
 }
 
 /// Last command sent to the executor of a run, to be resent over a new connection.
--- a/engine/src/tests/engine.rs
+++ b/engine/src/tests/engine.rs
@@ -158,6 +158,7 @@
         coalescible: false,
         idempotency_key: Some(IdempotencyKey(u128::from(n).to_be_bytes())),
         denied: false,
+        stop_when_over: false,
     };
     let mut n = 0;
     while harness.engine.stats.idempotency_keys_full == 0 {
@@ -224,6 +225,7 @@
         coalescible: false,
         idempotency_key: None,
         denied: false,
+        stop_when_over: false,
     };
     let reused_id = harness.engine.request_received(0, 77, request(id, 1), b"", &mut harness.recorder);
     assert_eq!(reused_id, Err(IntakeError::IdInUse));
@@ -250,3 +252,43 @@
     assert_eq!(harness.engine.stats.stale_events, 1);
     harness.check();
 }
+
+/// Guards against runs of messages that wait for a call for good, and whose memory stays in use, after their delivery was
+/// given up.
+#[test]
+fn run_that_waits_for_a_call_is_stopped_once_its_rpc_is_over() {
+    for (stop_when_over, cancelled) in [(true, true), (true, false), (false, true), (false, false)] {
+        let mut harness = Harness::new(Upstream::Tier);
+        let id = RpcId::new("message").unwrap();
+        let request = IncomingRpc {
+            id,
+            method: MethodId(1),
+            tenant: None,
+            caller: CallerId(1),
+            deadline: Some(900 * MS),
+            read_delay: 0,
+            size_kb: 10.0,
+            cache_key: None,
+            coalescible: false,
+            idempotency_key: None,
+            denied: false,
+            stop_when_over,
+        };
+        harness.recorder.requests.insert(1, id);
+        harness.engine.request_received(0, 1, request, b"body", &mut harness.recorder).unwrap();
+        assert!(harness.engine.call_needed(0, id, Some(b"call"), &mut harness.recorder));
+        assert!(harness.recorder.calls.contains_key(&id));
+        if cancelled {
+            harness.engine.caller_cancelled(harness.now, 1, &mut harness.recorder);
+        } else {
+            // No reply comes until the deadline.
+            harness.advance(1_000 * MS);
+            assert_eq!(harness.recorder.answers[&1], "aborted");
+        }
+        assert_eq!(harness.recorder.stops, Vec::from_iter(Some(id).filter(|_| stop_when_over)));
+        assert!(harness.engine.memory_in_use_kb() > 0.0, "the run is not over yet");
+        harness.engine.run_ended(harness.now, id, RunEnd::Stopped, b"", &mut harness.recorder);
+        assert_eq!((harness.engine.open_rpcs(), harness.engine.memory_in_use_kb()), (0, 0.0));
+        assert_eq!(harness.recorder.violations, Vec::<String>::new());
+    }
+}
--- a/engine/src/tests/harness.rs
+++ b/engine/src/tests/harness.rs
@@ -57,6 +57,7 @@
     pub(super) launched: BTreeSet<RpcId>,
     pub(super) closed: BTreeSet<RpcId>,
     pub(super) calls: BTreeMap<RpcId, UpstreamLinkId>,
+    pub(super) stops: Vec<RpcId>,
     pub(super) violations: Vec<String>,
     /// Whether upstream calls can't be sent.
     pub(super) calls_fail: bool,
@@ -125,7 +126,9 @@
         }
         self.runs.insert(id);
     }
-    fn stop(&mut self, _: RpcId) {}
+    fn stop(&mut self, id: RpcId) {
+        self.stops.push(id);
+    }
     fn resume(&mut self, id: RpcId, _: &[u8]) {
         self.runs.insert(id);
     }
@@ -200,6 +203,7 @@
             coalescible: false,
             idempotency_key: key,
             denied: false,
+            stop_when_over: false,
         };
         self.deadlines.insert(requester, self.now + timeout);
         let accepted =
--- a/engine/src/tests/reused_ids.rs
+++ b/engine/src/tests/reused_ids.rs
@@ -118,6 +118,7 @@
             coalescible: !keyed,
             idempotency_key: Some(IdempotencyKey([key; 16])).filter(|_| keyed),
             denied: false,
+            stop_when_over: false,
         };
         let body = format!("{keyed} {key}").into_bytes();
         self.peers.accepted.insert(requester, (body.clone(), self.peers.now));
--- a/lab/src/agent.rs
+++ b/lab/src/agent.rs
@@ -237,6 +237,11 @@
         at.saturating_duration_since(self.created).as_micros() as u64
     }
 
+    /// Returns the number of runs that wait for the answer to their upstream call.
+    pub fn waiting_for_calls(&self) -> usize {
+        self.awaiting_call.len()
+    }
+
     fn speed(&self) -> f64 {
         self.cold.map_or(1.0, |(cold, since)| cold.speed(since.elapsed()))
     }
--- a/lab/src/arguments.rs
+++ b/lab/src/arguments.rs
@@ -85,6 +85,8 @@
     AmqpDrain,
     /// Each fault that a broker may cause, one after the other
     AmqpOdd,
+    /// Messages whose runs call an upstream that never answers
+    AmqpSilent,
     /// Throughput with 100,000 messages ready and runs without work
     AmqpRate,
     /// Throughput with a launch that is lost while the connection to the agent stays up
@@ -144,6 +146,7 @@
             Scenario::AmqpRedeliver => "amqp-redeliver",
             Scenario::AmqpDrain => "amqp-drain",
             Scenario::AmqpOdd => "amqp-odd",
+            Scenario::AmqpSilent => "amqp-silent",
             Scenario::AmqpRate => "amqp-rate",
             Scenario::AmqpLost => "amqp-lost",
             Scenario::FramedCpu => "framed-cpu",
--- a/lab/src/backend.rs
+++ b/lab/src/backend.rs
@@ -5,6 +5,7 @@
 use crate::report::ScenarioError;
 use crate::setup::{Services, Setup};
 use crate::stubs::{start_echo_upstream, start_name_service};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// A backend with stubs of its dependencies.
@@ -18,10 +19,16 @@
 impl Backend {
     /// Starts the agent and the backend, and waits until the backend listens.
     pub fn start(setup: &Setup, password: &str) -> Result<Backend, ScenarioError> {
+        Backend::start_with_upstream(setup, password, start_echo_upstream()?)
+    }
+
+    /// Starts the agent and the backend with another upstream, and waits until the backend listens.
+    pub fn start_with_upstream(
+        setup: &Setup, password: &str, upstream: SocketAddr,
+    ) -> Result<Backend, ScenarioError> {
         let agent = Agent::start(setup.cores, &setup.methods)?;
         agent.state().lost_launch = setup.lost_launch;
-        let (upstream, naming) = (start_echo_upstream()?, start_name_service()?);
-        let services = Services { agent: agent.address, upstream, naming };
+        let services = Services { agent: agent.address, upstream, naming: start_name_service()? };
         let node = Node::start(setup, &services, password)?;
         Ok(Backend { agent, node })
     }
--- a/lab/src/dispatch.rs
+++ b/lab/src/dispatch.rs
@@ -30,6 +30,7 @@
         Scenario::AmqpRedeliver => queue::redelivery(report, seed, arguments.messages.unwrap_or(5_000)),
         Scenario::AmqpDrain => queue::shutdown(report, seed),
         Scenario::AmqpOdd => queue::broker_faults(report, seed),
+        Scenario::AmqpSilent => queue::silent_upstream(report),
         Scenario::AmqpRate => queue::throughput(report, throughput_options(arguments, false, 100_000)),
         Scenario::AmqpLost => queue::throughput(report, throughput_options(arguments, true, 20_000)),
         Scenario::FramedCpu => queue::framed_cpu(report, seed, load(4), other),
--- a/lab/src/node.rs
+++ b/lab/src/node.rs
@@ -143,11 +143,13 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
-    /// Returns a counter of the statistics that the process logs when it exits; 0 without such a counter.
+    /// Returns a counter of the statistics that the process logged last; 0 without such a counter.
     pub fn logged_count(&self, name: &str) -> u64 {
         let log = self.read_log();
-        let rest = log.rsplit(&format!("{name}=")).next().unwrap_or("");
-        rest.split(|c: char| !c.is_ascii_digit()).next().and_then(|n| n.parse().ok()).unwrap_or(0)
+        let counters = log.lines().rev().find(|line| line.contains("counters")).unwrap_or("");
+        // The counters of queues, which may have the same names, come after those of the process.
+        let value = counters.split(&format!(" {name}=")).nth(1).unwrap_or("");
+        value.split(|c: char| !c.is_ascii_digit()).next().and_then(|n| n.parse().ok()).unwrap_or(0)
     }
 
     /// Waits for the process to exit and returns its exit code, or `None` if it was killed or does not exit in time.
--- a/lab/src/queue/mod.rs
+++ b/lab/src/queue/mod.rs
@@ -8,6 +8,7 @@
 mod rules;
 mod setup;
 mod shutdown;
+mod silent_upstream;
 mod throughput;
 
 pub use broker_faults::broker_faults;
@@ -18,4 +19,5 @@
 pub use rules::report_broker_ledger;
 pub use setup::endless_stock_queue;
 pub use shutdown::shutdown;
+pub use silent_upstream::silent_upstream;
 pub use throughput::{throughput, ThroughputOptions};
--- a/lab/src/stubs.rs
+++ b/lab/src/stubs.rs
@@ -11,6 +11,11 @@
     accept_forever(echo_calls)
 }
 
+/// Starts an upstream that reads all calls and answers none.
+pub fn start_silent_upstream() -> std::io::Result<SocketAddr> {
+    accept_forever(|mut stream| std::io::copy(&mut stream, &mut std::io::sink()).ok().map(drop))
+}
+
 /// Starts a name service that accepts every load report.
 pub fn start_name_service() -> std::io::Result<SocketAddr> {
     accept_forever(accept_reports)
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -5,7 +5,7 @@
 use crate::cost_estimate::CostEstimate;
 use crate::ids::{CallerId, MethodId, RpcId, Us};
 use crate::learned_state::{LearnedAllowance, LearnedBalance, LearnedCost, LearnedState};
-use crate::method::{Idempotency, Method};
+use crate::method::{Idempotency, Method, StopMode};
 use crate::outcome::Outcome;
 use crate::status::Status;
 use crate::tenant_quotas::{Allowance, MAX_ALLOWANCE_RPCS};
@@ -99,6 +99,11 @@
         self.tenant_rate(tenant).is_some()
     }
 
+    /// Reports whether a run can be stopped, by the settings.
+    pub fn can_stop_runs(&self) -> bool {
+        self.stop_mode != StopMode::Off
+    }
+
     /// Reports whether an open RPC may be run more than once, by the settings in force when it was read.
     pub fn is_idempotent(&self, id: RpcId) -> bool {
         self.rpcs.get(&id).is_some_and(|rpc| rpc.idempotency == Idempotency::Idempotent)
