A used RPC id aborts that RPC only: ending its connection cost service on sockets

Why it costs service is not traced.

Change: the RPC is still aborted and counted in reused_ids; its connection stays, as on the code before, and ends by the rule on four RPCs that can't be run.

--- a/daemon/src/core/sidecar_rpcs.rs
+++ b/daemon/src/core/sidecar_rpcs.rs
@@ -40,13 +40,8 @@
         });
         let Err(error) = accepted else { return Ok(()) };
         self.abort_unserviceable(now, from, outbound);
-        match error {
-            IntakeError::IdInUse => {
-                self.state.stats.rpc_ids_reused += 1;
-                Err(SidecarFault::RpcIdInUse)
-            }
-            IntakeError::RequesterInUse => Ok(()),
-        }
+        self.state.stats.rpc_ids_reused += u64::from(error == IntakeError::IdInUse);
+        Ok(())
     }
 
     /// Returns an error if nothing more is accepted from a connection, as none of its RPCs could be run.
--- a/daemon/src/sidecar_registry.rs
+++ b/daemon/src/sidecar_registry.rs
@@ -13,8 +13,6 @@
     TooManyStreams,
     /// None of the RPCs of its connection could be run.
     NothingRunnable,
-    /// It used the id of an RPC that is open or whose result is retained.
-    RpcIdInUse,
 }
 
 impl SidecarFault {
@@ -23,7 +21,6 @@
         match self {
             SidecarFault::TooManyStreams => "too many streams are open",
             SidecarFault::NothingRunnable => "nothing that came here could be run",
-            SidecarFault::RpcIdInUse => "the id of an RPC was used again",
         }
     }
 }
--- a/daemon/src/tests.rs
+++ b/daemon/src/tests.rs
@@ -19,7 +19,6 @@
 
 use crate::core::Core;
 use crate::ids::{ConnectionId, SidecarStream};
-use crate::sidecar_registry::SidecarFault;
 use asterrill::{CallEnd, CallerId, RpcId, Us};
 use asterrill_engine::UpstreamLinkId;
 use asterrill_entries::Configuration;
