Review case 7: a queue's wrong route rejects every message and is settled

Cause: deliveries without a route never reach the engine, so the probation of a change does not see them. A change that makes all deliveries of a queue unroutable is accepted, rejects them as they come, and is settled.

Change: the case with its claim and script, and a broker stand-in.

--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -3,7 +3,9 @@
 //! Exit code 1: the rule was broken; 0: it held; 2: the case could not be played.
 
 mod agent;
+mod broker;
 mod case_aside;
+mod case_route;
 mod harness;
 mod settings;
 mod sidecar;
@@ -23,6 +25,7 @@
     record.add(format!("case {name}, {} the disruption", if trouble { "with" } else { "without" }));
     let result = match name.as_str() {
         "aside" => case_aside::play(&root, &record, trouble),
+        "route" => case_route::play(&root, &record, trouble),
         other => Err(format!("no case {other}")),
     };
     let code = match result {
