Review case 8: a drain ends with messages answered and never settled

Cause: the process ends as soon as the engine owes no answer. Deliveries whose published reply is not confirmed by then are neither acknowledged nor rejected, and the broker delivers them again.

Change: the case with its claim and script.

--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod broker;
 mod case_aside;
+mod case_reply;
 mod case_route;
 mod harness;
 mod settings;
@@ -25,6 +26,7 @@
     record.add(format!("case {name}, {} the disruption", if trouble { "with" } else { "without" }));
     let result = match name.as_str() {
         "aside" => case_aside::play(&root, &record, trouble),
+        "reply" => case_reply::play(&root, &record, trouble),
         "route" => case_route::play(&root, &record, trouble),
         other => Err(format!("no case {other}")),
     };
