--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod broker;
 mod case_aside;
+mod case_quota;
 mod case_reply;
 mod case_route;
 mod harness;
@@ -28,6 +29,7 @@
         "aside" => case_aside::play(&root, &record, trouble),
         "reply" => case_reply::play(&root, &record, trouble),
         "route" => case_route::play(&root, &record, trouble),
+        "quota" => case_quota::play(&root, &record, trouble),
         other => Err(format!("no case {other}")),
     };
     let code = match result {
