--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -8,6 +8,7 @@
 mod case_quota;
 mod case_reply;
 mod case_route;
+mod case_window;
 mod harness;
 mod settings;
 mod sidecar;
@@ -29,6 +30,7 @@
         "aside" => case_aside::play(&root, &record, trouble),
         "reply" => case_reply::play(&root, &record, trouble),
         "route" => case_route::play(&root, &record, trouble),
+        "window" => case_window::play(&root, &record, trouble),
         "quota" => case_quota::play(&root, &record, trouble),
         other => Err(format!("no case {other}")),
     };
