Review case 7: unanswered calls of messages that can't be stopped end all service

Need: the entry of the roadmap about runs of messages that wait for a call for good was known by reading only.

Change: the case with its claim and script, a stand-in of the records service, calls in the stand-in of the agent. The cases of the queue's route and of the drain are 8 and 9 now.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
 here=$PWD
 root=$(cd ../.. && pwd)
 [ -x "$root/target/review-2/cases" ] && [ -x "$root/target/release/asterrilld" ] || { echo "not built"; exit 2; }
-exec "$root/target/review-2/cases" reply "$root" "$here"
+exec "$root/target/review-2/cases" route "$root" "$here"
--- a/review/lib-2/agent.rs
+++ b/review/lib-2/agent.rs
@@ -18,6 +18,10 @@
     links: u64,
     started: u64,
     last_run: u64,
+    /// Body of each run, and the time that it works without a pause.
+    bodies: BTreeMap<String, (Vec<u8>, Duration)>,
+    /// Runs that wait for the reply to their call.
+    at_call: BTreeMap<String, u64>,
 }
 
 impl State {
@@ -45,19 +49,34 @@
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
     work: Arc<BTreeMap<String, Duration>>,
+    /// Class whose runs make one call halfway, if any.
+    calling: Option<String>,
     record: Record,
     /// Whether each run is written to the record.
     quiet: bool,
 }
 
 impl Agent {
-    /// Starts an agent whose classes take these times.
+    /// Starts an agent whose classes take these times and make no calls.
     pub fn start(work: &[(&str, u64)], record: &Record, quiet: bool) -> Step<Agent> {
+        Agent::start_with_calls(work, None, record, quiet)
+    }
+
+    /// Starts an agent; the runs of one class make a call halfway.
+    pub fn start_with_calls(
+        work: &[(&str, u64)], calling: Option<&str>, record: &Record, quiet: bool,
+    ) -> Step<Agent> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
         let address = listener.local_addr().map_err(|e| e.to_string())?;
         let work = work.iter().map(|(name, ms)| (name.to_string(), Duration::from_millis(*ms))).collect();
-        let agent =
-            Agent { address, state: Arc::default(), work: Arc::new(work), record: record.clone(), quiet };
+        let agent = Agent {
+            address,
+            state: Arc::default(),
+            work: Arc::new(work),
+            calling: calling.map(str::to_string),
+            record: record.clone(),
+            quiet,
+        };
         let acceptor = agent.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -77,6 +96,11 @@
         self.state.lock().unwrap().started
     }
 
+    /// Returns how many runs wait for the reply to their call.
+    pub fn waiting_for_calls(&self) -> usize {
+        self.state.lock().unwrap().at_call.len()
+    }
+
     /// Returns how many links the backend has opened.
     pub fn links(&self) -> u64 {
         self.state.lock().unwrap().links
@@ -93,6 +117,8 @@
         let mut state = self.state.lock().unwrap();
         state.notices.clear();
         state.running.clear();
+        state.bodies.clear();
+        state.at_call.clear();
         state.over.clear();
         state.link = None;
     }
@@ -131,6 +157,15 @@
                     }
                 }
                 ["launch", id, class, _] => self.launch(&mut state, id, class, body),
+                ["deliver", id, _] => {
+                    if let Some(run) = state.at_call.remove(id) {
+                        self.work_on(&mut state, id, run, false);
+                    }
+                }
+                // A site whose runs can't be stopped allows no such command.
+                ["freeze", id] if self.calling.is_some() => {
+                    state.send(format!("refusal freeze {id}\r\n").as_bytes())
+                }
                 ["freeze", id] => {
                     if state.running.remove(id).is_some() {
                         state.over.insert(id.to_string());
@@ -172,6 +207,14 @@
         let starts = state.starts.entry(text.clone()).or_default();
         *starts += 1;
         self.tell(format!("agent: run of {class}, body {text:?}, begins: run {starts} of this body"));
+        let calls = self.calling.as_deref() == Some(class);
+        state.bodies.insert(id.to_string(), (body, if calls { work / 2 } else { work }));
+        self.work_on(state, id, run, calls);
+    }
+
+    /// Lets a run work to its call, or to its end.
+    fn work_on(&self, state: &mut State, id: &str, run: u64, calls: bool) {
+        let Some((body, work)) = state.bodies.get(id).cloned() else { return };
         let (agent, id) = (self.clone(), id.to_string());
         std::thread::spawn(move || {
             std::thread::sleep(work);
@@ -179,9 +222,14 @@
             if state.running.get(&id) != Some(&run) {
                 return;
             }
+            if calls {
+                state.at_call.insert(id.clone(), run);
+                return state.notice("request", &format!("{id} {}", body.len()), Some(&body));
+            }
             state.running.remove(&id);
+            state.bodies.remove(&id);
             state.over.insert(id.clone());
-            agent.tell(format!("agent: run with body {text:?} ends ok"));
+            agent.tell(format!("agent: run with body {:?} ends ok", String::from_utf8_lossy(&body)));
             let result = [b"did ", &body[..]].concat();
             let rest = format!("{id} PASS {} {}", work.as_millis(), result.len());
             state.notice("outcome", &rest, Some(&result));
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -5,11 +5,12 @@
 mod agent;
 mod broker;
 mod case_aside;
-mod case_quota;
+mod case_calls;
 mod case_reply;
 mod case_route;
 mod case_window;
 mod harness;
+mod records;
 mod settings;
 mod sidecar;
 
@@ -31,7 +32,7 @@
         "reply" => case_reply::play(&root, &record, trouble),
         "route" => case_route::play(&root, &record, trouble),
         "window" => case_window::play(&root, &record, trouble),
-        "quota" => case_quota::play(&root, &record, trouble),
+        "calls" => case_calls::play(&root, &record, trouble),
         other => Err(format!("no case {other}")),
     };
     let code = match result {
