A raised idempotency window holds for attempts that ran before the change

IdempotencyTable::record stored the end of the window as of the admission, and nothing looked at the window in force. A change after the record had expired did the same.

Change: a record keeps its arrival and its method; the window in force is looked up when a repeat is read and when the record is about to expire, and the later of both ends counts. Keys of expired attempts stay without results while the table has room; a repeat that finds one, or that may be of a forgotten one, is aborted. Counter results_expired. Why it works: whatever the order of runs, changes and expiries, a run's arrival is known, or it is known that it is not.

--- a/daemon/src/stats.rs
+++ b/daemon/src/stats.rs
@@ -40,6 +40,8 @@
     coalesced => "joined",
     /// Results of RPCs with an idempotency key that were evicted while a retry was still possible.
     results_evicted => "results_dropped",
+    /// Retries that were aborted because the record of the attempt that ran had expired when its window was raised.
+    results_expired => "results_expired",
     /// New RPCs with an idempotency key that were rejected because the table of keys was full.
     idempotency_keys_full => "tokens_full",
     /// Health checks, including thorough ones.
@@ -135,6 +137,7 @@
         self.rpcs_cancelled += engine.cancelled;
         self.coalesced += engine.coalesced;
         self.results_evicted += engine.results_evicted;
+        self.results_expired += engine.results_expired;
         self.idempotency_keys_full += engine.idempotency_keys_full;
         self.runs += engine.runs;
         self.runs_ok += engine.runs_ok;
--- a/engine/src/idempotency.rs
+++ b/engine/src/idempotency.rs
@@ -5,11 +5,17 @@
 //! retry that arrived in time may be read late. No record is dropped early: when the table is full, RPCs with new keys
 //! are rejected. Only results may be evicted, the oldest first; a retry of an RPC whose result was evicted is aborted
 //! and never run.
+//!
+//! A change of the settings may raise the idempotency window of a method. The window in force then also holds for
+//! attempts that ran before the change, whether or not their records had expired. For this, the arrivals of expired
+//! attempts are kept while the table has room, and a retry within the raised window is aborted. Once some of them had to
+//! be forgotten, so is every RPC whose window reaches back to their arrival.
 
-use asterrill::{RpcId, Us};
+use crate::expired_attempts::ExpiredAttempts;
+use asterrill::{MethodId, RpcId, Us};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Maximum number of recorded keys. Each takes about 200 bytes without its result.
+/// Maximum number of recorded keys, with those of expired attempts. Each takes about 200 bytes without its result.
 const MAX_KEYS: usize = 16_384;
 /// Margin added to the time in which a retry may arrive, because clocks round to milliseconds.
 const CLOCK_MARGIN_US: Us = 100_000;
@@ -18,11 +24,32 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct IdempotencyKey(pub [u8; 16]);
 
+/// What is known about an earlier attempt of an RPC.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EarlierAttempt {
+    /// No earlier attempt has run within the window.
+    None,
+    /// This attempt has run or is about to run.
+    Recorded(RpcId),
+    /// An earlier attempt has run or may have run, and its record has expired.
+    Expired,
+}
+
+/// Attempt that is about to run.
+pub(crate) struct Attempt {
+    pub(crate) id: RpcId,
+    pub(crate) method: MethodId,
+    /// Time of arrival, in microseconds.
+    pub(crate) arrived_at: Us,
+    /// Time until which a retry may arrive under the settings of the attempt, in microseconds.
+    pub(crate) retries_until: Us,
+}
+
 /// Attempt recorded for a key.
 struct Entry {
-    id: RpcId,
-    /// Time until which a retry may arrive, in microseconds.
-    retries_until: Us,
+    attempt: Attempt,
+    /// Arrival of an expired attempt with the same key that ran before, if there was one.
+    superseded_arrival: Option<Us>,
     /// Time at which the record expires, in microseconds; none until the run has ended.
     expires_at: Option<Us>,
     result: Option<Box<[u8]>>,
@@ -41,6 +68,7 @@
     by_id: BTreeMap<RpcId, IdempotencyKey>,
     /// Attempts whose run has ended.
     by_expiry: BTreeSet<Expiry>,
+    expired: ExpiredAttempts,
     result_bytes: usize,
     max_result_bytes: usize,
     max_rpc_lifetime: Us,
@@ -54,6 +82,7 @@
             entries: BTreeMap::new(),
             by_id: BTreeMap::new(),
             by_expiry: BTreeSet::new(),
+            expired: ExpiredAttempts::default(),
             result_bytes: 0,
             max_result_bytes,
             max_rpc_lifetime,
@@ -66,11 +95,18 @@
         self.max_rpc_lifetime = self.max_rpc_lifetime.max(max_rpc_lifetime);
     }
 
-    /// Returns the recorded attempt of which an RPC with this key is a retry, if the RPC arrived in time.
-    pub(crate) fn original(&self, key: IdempotencyKey, arrived_at: Us) -> Option<RpcId> {
-        let entry = self.entries.get(&key)?;
-        let in_time = entry.expires_at.is_none() || arrived_at < entry.retries_until;
-        in_time.then_some(entry.id)
+    /// Returns what is known about an earlier attempt with this key for an RPC that arrived at `arrived_at`. `window` is
+    /// the idempotency window in force for its method, in microseconds.
+    pub(crate) fn earlier_attempt(&self, key: IdempotencyKey, arrived_at: Us, window: Us) -> EarlierAttempt {
+        if let Some(entry) = self.entries.get(&key) {
+            if entry.expires_at.is_none() || arrived_at < entry.attempt.retries_until_under(window) {
+                return EarlierAttempt::Recorded(entry.attempt.id);
+            }
+        }
+        if self.expired.may_be_repeated_by(key, arrived_at, window + CLOCK_MARGIN_US) {
+            return EarlierAttempt::Expired;
+        }
+        EarlierAttempt::None
     }
 
     /// Reports whether an attempt with this id is recorded.
@@ -83,12 +119,13 @@
         self.entries.len() >= MAX_KEYS
     }
 
-    /// Records an attempt that is about to run. Retries that arrive until `retries_until` wait for it.
-    pub(crate) fn record(&mut self, key: IdempotencyKey, id: RpcId, retries_until: Us) {
-        self.remove_key(key);
-        let retries_until = retries_until + CLOCK_MARGIN_US;
-        self.by_id.insert(id, key);
-        self.entries.insert(key, Entry { id, retries_until, expires_at: None, result: None });
+    /// Records an attempt that is about to run. Retries that arrive until its `retries_until` wait for it.
+    pub(crate) fn record(&mut self, key: IdempotencyKey, mut attempt: Attempt) {
+        let superseded_arrival = self.remove_key(key).or_else(|| self.expired.remove(key));
+        attempt.retries_until += CLOCK_MARGIN_US;
+        self.by_id.insert(attempt.id, key);
+        self.entries.insert(key, Entry { attempt, superseded_arrival, expires_at: None, result: None });
+        self.limit_expired();
     }
 
     /// Records the end of an attempt's run, with a result if it was ok. Returns the number of results that were evicted
@@ -96,7 +133,7 @@
     pub(crate) fn complete(&mut self, id: RpcId, result: Option<&[u8]>) -> u64 {
         let Some(key) = self.by_id.get(&id).copied() else { return 0 };
         let Some(entry) = self.entries.get_mut(&key) else { return 0 };
-        let at = entry.retries_until + self.max_rpc_lifetime;
+        let at = entry.attempt.retries_until + self.max_rpc_lifetime;
         entry.expires_at = Some(at);
         self.by_expiry.insert(Expiry { at, key });
         let Some(result) = result.filter(|result| result.len() <= self.max_result_bytes) else { return 0 };
@@ -127,26 +164,53 @@
 
     /// Removes an attempt that never ran, so that a retry counts as a new RPC.
     pub(crate) fn remove(&mut self, id: RpcId) {
-        if let Some(key) = self.by_id.get(&id).copied() {
-            self.remove_key(key);
+        let Some(key) = self.by_id.get(&id).copied() else { return };
+        let superseded_arrival = self.entries.get(&key).and_then(|entry| entry.superseded_arrival);
+        self.remove_key(key);
+        if let Some(arrived_at) = superseded_arrival {
+            self.expired.insert(key, arrived_at);
         }
     }
 
-    /// Removes expired records.
-    pub(crate) fn expire(&mut self, now: Us) {
-        while let Some(expired) = self.by_expiry.first().copied().filter(|expiry| expiry.at <= now) {
-            self.remove_key(expired.key);
+    /// Expires the records whose retries have all been read. `window` returns the idempotency window in force for a
+    /// method; a record is kept until that window is over as well.
+    pub(crate) fn expire(&mut self, now: Us, window: impl Fn(MethodId) -> Us) {
+        while let Some(due) = self.by_expiry.first().copied().filter(|expiry| expiry.at <= now) {
+            let Some(entry) = self.entries.get_mut(&due.key) else { return };
+            let window = window(entry.attempt.method);
+            let at = entry.attempt.retries_until_under(window) + self.max_rpc_lifetime;
+            if at > now {
+                entry.expires_at = Some(at);
+                self.by_expiry.remove(&due);
+                self.by_expiry.insert(Expiry { at, key: due.key });
+            } else if let Some(arrived_at) = self.remove_key(due.key) {
+                self.expired.insert(due.key, arrived_at);
+            }
         }
     }
 
-    /// Removes a record from all indexes. Every removal goes through this function, so that the indexes stay
-    /// consistent.
-    fn remove_key(&mut self, key: IdempotencyKey) {
-        let Some(entry) = self.entries.remove(&key) else { return };
-        self.by_id.remove(&entry.id);
+    /// Forgets the oldest expired attempts until the rest fits into the table.
+    fn limit_expired(&mut self) {
+        self.expired.truncate(MAX_KEYS.saturating_sub(self.entries.len()));
+    }
+
+    /// Removes a record from all indexes, and returns the arrival of its attempt. Every removal goes through this
+    /// function, so that the indexes stay consistent.
+    fn remove_key(&mut self, key: IdempotencyKey) -> Option<Us> {
+        let entry = self.entries.remove(&key)?;
+        self.by_id.remove(&entry.attempt.id);
         if let Some(at) = entry.expires_at {
             self.by_expiry.remove(&Expiry { at, key });
         }
         self.result_bytes -= entry.result.map_or(0, |result| result.len());
+        Some(entry.attempt.arrived_at)
+    }
+}
+
+impl Attempt {
+    /// Returns the time until which a retry may arrive if the idempotency window in force is `window`. It is never
+    /// earlier than under the settings of the attempt.
+    fn retries_until_under(&self, window: Us) -> Us {
+        self.retries_until.max(self.arrived_at + window + CLOCK_MARGIN_US)
     }
 }
--- a/engine/src/intake.rs
+++ b/engine/src/intake.rs
@@ -1,6 +1,7 @@
 //! Inputs from the front ends: incoming RPCs and cancellations by callers.
 
 use crate::engine::Engine;
+use crate::idempotency::EarlierAttempt;
 use crate::outputs::Outputs;
 use crate::request::IncomingRpc;
 use crate::response_cache::CacheKey;
@@ -30,6 +31,11 @@
         if self.rpcs.unanswered(reply_to).is_some() {
             return Err(IntakeError::RequesterInUse);
         }
+        if self.earlier_attempt(&request) == EarlierAttempt::Expired {
+            self.stats.results_expired += 1;
+            self.abort_unserviceable(now, reply_to, out);
+            return Ok(());
+        }
         if self.idempotency.is_full() && request.idempotency_key.is_some() && !self.is_retry(&request) {
             self.stats.idempotency_keys_full += 1;
             self.reject(now, reply_to, out);
@@ -68,8 +74,19 @@
 
     /// Reports whether an RPC that arrives now repeats one that has run or is about to run.
     pub fn is_retry(&self, request: &IncomingRpc) -> bool {
-        let arrived_at = self.arrival_time(request);
-        request.idempotency_key.is_some_and(|key| self.idempotency.original(key, arrived_at).is_some())
+        self.earlier_attempt(request) != EarlierAttempt::None
+    }
+
+    fn earlier_attempt(&self, request: &IncomingRpc) -> EarlierAttempt {
+        self.earlier_attempt_at(request, self.arrival_time(request))
+    }
+
+    /// Returns what is known about an earlier attempt of an RPC that arrived at `arrived_at`, under the idempotency window
+    /// in force.
+    fn earlier_attempt_at(&self, request: &IncomingRpc, arrived_at: Us) -> EarlierAttempt {
+        let Some(key) = request.idempotency_key else { return EarlierAttempt::None };
+        let window = self.control.idempotency_window(request.method);
+        self.idempotency.earlier_attempt(key, arrived_at, window)
     }
 
     /// Submits a queued RPC to the decision module, together with the RPC that it duplicates.
@@ -77,10 +94,10 @@
         let Some(rpc) = self.rpcs.get(id) else { return };
         let request = &rpc.request;
         let cache_key = self.cache_key(request);
-        let original = match (request.idempotency_key, cache_key) {
-            (Some(key), _) => self.idempotency.original(key, rpc.arrived_at),
-            (None, Some(key)) => self.response_cache.original(key, self.now),
-            (None, None) => None,
+        let original = match self.earlier_attempt_at(request, rpc.arrived_at) {
+            EarlierAttempt::Recorded(original) => Some(original),
+            EarlierAttempt::Expired => return self.answer(id, FinalAnswer::Aborted, out),
+            EarlierAttempt::None => cache_key.and_then(|key| self.response_cache.original(key, self.now)),
         };
         if request.denied && original.is_none() {
             let rejection = FinalAnswer::Rejected { terminal: true, retry_after: 0 };
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -57,6 +57,7 @@
 mod config;
 mod drain;
 mod engine;
+mod expired_attempts;
 mod idempotency;
 mod intake;
 mod outcomes;
--- a/engine/src/outcomes.rs
+++ b/engine/src/outcomes.rs
@@ -1,6 +1,7 @@
 //! Execution of the decision module's decisions, list by list in the order of the fields of an [`Outcome`].
 
 use crate::engine::{Deferred, Engine};
+use crate::idempotency::Attempt;
 use crate::outputs::Outputs;
 use crate::rpc::{RpcState, SentCommand};
 use asterrill::{CallEnd, CallRequest, KeyRetention, Outcome, Reply, RpcId, RunEnd, Us};
@@ -54,9 +55,10 @@
     /// Answers retries and duplicates of this RPC with its result until `until`.
     fn retain_key(&mut self, id: RpcId, until: Us) {
         self.response_cache.retain_until(id, until);
-        if let Some(key) = self.rpcs.get(id).and_then(|rpc| rpc.request.idempotency_key) {
-            self.idempotency.record(key, id, until);
-        }
+        let Some(rpc) = self.rpcs.get(id) else { return };
+        let Some(key) = rpc.request.idempotency_key else { return };
+        let (method, arrived_at) = (rpc.request.method, rpc.arrived_at);
+        self.idempotency.record(key, Attempt { id, method, arrived_at, retries_until: until });
     }
 
     /// Makes an RPC wait for its original, which is open or has ended recently.
--- a/engine/src/stats.rs
+++ b/engine/src/stats.rs
@@ -19,6 +19,8 @@
     pub coalesced: u64,
     /// Results of RPCs with an idempotency key that were evicted while a retry might still arrive.
     pub results_evicted: u64,
+    /// Retries that were aborted because the record of the attempt that ran had expired when its window was raised.
+    pub results_expired: u64,
     /// RPCs rejected because the table of idempotency keys was full.
     pub idempotency_keys_full: u64,
     /// Runs started.
--- a/engine/src/tests/harness.rs
+++ b/engine/src/tests/harness.rs
@@ -14,8 +14,13 @@
 /// Index of the method whose RPCs have idempotency keys.
 pub(super) const KEYED_METHOD: usize = 2;
 
-pub(super) fn control(upstream: Upstream) -> Control {
-    let method = |idempotency, criticality, skip_value_ratio| Method {
+/// Returns a method whose RPCs carry idempotency keys with this window.
+pub(super) fn keyed_method(idempotency_window: Us) -> Method {
+    Method { idempotency_window, ..method(Idempotency::Keyed, 2.0, 0.0) }
+}
+
+fn method(idempotency: Idempotency, criticality: f64, skip_value_ratio: f64) -> Method {
+    Method {
         latency_target: 400 * MS,
         deadline: 900 * MS,
         idempotency,
@@ -23,11 +28,14 @@
         late_value_ratio: 0.0,
         idempotency_window: WINDOW,
         skip_value_ratio,
-    };
+    }
+}
+
+pub(super) fn control(upstream: Upstream) -> Control {
     let methods = vec![
         method(Idempotency::Idempotent, 1.0, 0.5),
         method(Idempotency::NonIdempotent, 3.0, 0.0),
-        method(Idempotency::Keyed, 2.0, 0.0),
+        keyed_method(WINDOW),
     ];
     Control::new(
         0,
--- a/engine/src/tests/mod.rs
+++ b/engine/src/tests/mod.rs
@@ -4,3 +4,4 @@
 mod harness;
 mod response_cache;
 mod reused_ids;
+mod window_changes;
--- a/engine/src/timers.rs
+++ b/engine/src/timers.rs
@@ -40,7 +40,8 @@
             self.call_timed_out(timeout, out);
         }
         self.response_cache.expire(self.now);
-        self.idempotency.expire(self.now);
+        let control = &self.control;
+        self.idempotency.expire(self.now, |method| control.idempotency_window(method));
         let Some(wakeup) = self.wakeups.first().copied() else { return };
         if self.gauges_available && !self.gauges_requested && wakeup <= self.now + GAUGE_LEAD_TIME_US {
             self.gauges_requested = true;
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -94,6 +94,12 @@
         self.method(method).is_some()
     }
 
+    /// Returns the idempotency window in force for a method, in microseconds; 0 if its RPCs carry no idempotency key.
+    pub fn idempotency_window(&self, method: MethodId) -> Us {
+        let keyed = self.method(method).filter(|method| method.idempotency == Idempotency::Keyed);
+        keyed.map_or(0, |method| method.idempotency_window)
+    }
+
     /// Reports whether a tenant has a quota in force.
     pub fn has_tenant(&self, tenant: usize) -> bool {
         self.tenant_rate(tenant).is_some()
