A longer time to remember holds for settlements of messages before the change

Change: a longer time is applied to what is remembered, a shorter one still to later settlements only.

--- a/consumer/src/dedup.rs
+++ b/consumer/src/dedup.rs
@@ -75,6 +75,7 @@
 #[derive(Clone, Copy, Debug)]
 struct SettledEntry {
     sequence: u64,
+    settled_at: Us,
     expires_at: Us,
     settlement: Settlement,
     sending: SettlementSending,
@@ -110,8 +111,12 @@
         }
     }
 
-    /// Changes the limits. The new time to live applies only to settlements inserted from now on.
+    /// Changes the limits. A longer time to live also applies to the settlements remembered so far, a shorter one only to
+    /// those inserted from now on.
     pub(crate) fn set_limits(&mut self, ttl: Us, capacity: usize) {
+        if ttl > self.ttl {
+            self.extend_expiry(ttl);
+        }
         self.ttl = ttl;
         self.capacity = capacity;
         while self.by_expiry.len() > capacity {
@@ -119,6 +124,17 @@
         }
     }
 
+    fn extend_expiry(&mut self, ttl: Us) {
+        self.by_expiry.clear();
+        for (identity, entries) in &mut self.by_identity {
+            for entry in entries {
+                entry.expires_at = entry.expires_at.max(entry.settled_at.saturating_add(ttl));
+                let (expires_at, sequence) = (entry.expires_at, entry.sequence);
+                self.by_expiry.insert(ExpiryKey { expires_at, sequence, identity: *identity });
+            }
+        }
+    }
+
     /// Returns the number of settlements remembered.
     pub(crate) fn len(&self) -> usize {
         self.by_expiry.len()
@@ -146,6 +162,7 @@
         let expires_at = now.saturating_add(self.ttl);
         self.by_identity.entry(identity).or_default().push(SettledEntry {
             sequence,
+            settled_at: now,
             expires_at,
             settlement,
             sending,
--- a/consumer/src/tests/mod.rs
+++ b/consumer/src/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the consumer.
 
 mod components;
+mod dedup;
 mod harness;
 mod queue;
