Connections with more to read take turns and leave half of the worker to others

Seen by callers: while peers sent at full speed, requests of others were answered late or never, and memory passed its limit. With the backend on one core and four steady connections of five requests a second, served of sent in 5 s: eight connections of health checks that read no answers 6/19, requests withdrawn at once 28/49, requests sent without regard to answers 16/48 (149 MB of 64).

Cause: the worker polls sockets only once no coroutine is ready. One busy connection that yields through the timer leaves it idle in between; of several, woken by the timer thread, one is always ready, so that no socket is polled any more.

Change: connections that have more to read do so one at a time, in order, and after each turn the worker is left to all others for as long as the turn took. The link to the agent is exempt. A sender of any number of frames on few connections is bounded, whatever it sends.

--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -137,6 +137,9 @@
     fn on_half_closed(&mut self) {
         self.out.close_now();
     }
+    fn takes_turns(&self) -> bool {
+        false
+    }
 }
 
 impl LinkHandler for AgentConnection {
--- a/net/src/connection.rs
+++ b/net/src/connection.rs
@@ -4,6 +4,7 @@
 use crate::clock::{now, wait_until, yield_to_others};
 use crate::outbox::{CloseRequest, Outbox, Waker};
 use crate::pool::{BufferPool, PooledBuffer, BUFFER_BYTES};
+use crate::turns::Turn;
 use may::io::WaitIo;
 use may::net::TcpStream;
 use std::io::{ErrorKind, Read, Write};
@@ -48,6 +49,12 @@
     fn linger_us(&self) -> Option<u64> {
         None
     }
+
+    /// Returns whether the connection waits for its turn among all such connections while its peer sends as fast as it is
+    /// read. `false` is for a peer that all others depend on.
+    fn takes_turns(&self) -> bool {
+        true
+    }
 }
 
 /// The way in which a connection ended.
@@ -122,6 +129,8 @@
     /// returns less than the buffer holds, since later data triggers another event. The same event may also report the peer's
     /// end of stream.
     events: usize,
+    /// The turn in which data is read that had arrived before the last round.
+    turn: Option<Turn>,
 }
 
 impl<'a> Connection<'a> {
@@ -138,6 +147,7 @@
             accepts_data: true,
             final_reads_left: MAX_FINAL_READS,
             events: event::READABLE,
+            turn: None,
         }
     }
 
@@ -256,8 +266,13 @@
     }
 
     fn wait(&mut self, progress: Progress) -> Result<(), ConnectionEnd> {
+        if let Some(turn) = self.turn.take() {
+            turn.end();
+        }
         if progress.no_buffer {
             wait_until(now() + NO_BUFFER_RETRY_US);
+        } else if progress.more && self.handler.takes_turns() {
+            self.turn = Some(Turn::wait());
         } else if progress.more {
             yield_to_others();
         } else {
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -10,6 +10,7 @@
 //! | `exchange` | a single request and reply over an outgoing connection |
 //! | `datagram_socket` | UDP datagrams |
 //! | `pool` | bounded pool of buffers of one size |
+//! | `turns` | turns of connections whose peers send as fast as they are read |
 //! | `clock`, `notify` | clocks, timers and wakeups |
 //! | `spawn` | start of the worker and of coroutines |
 #![warn(missing_docs)]
@@ -27,6 +28,7 @@
 mod outbox;
 mod pool;
 mod spawn;
+mod turns;
 
 pub use address::Address;
 pub use backoff::Backoff;
