Requests that arrived before a reset of their connection are discarded

Seen: a sidecar closed its connection with answers unread, and requests that were still unread here were launched afterwards: one or two of 31, as many as cores were free, with the backend stopped while the requests and the reset arrived.

Cause: the system returns data that arrived before a reset first and the error last; each piece was handled as it was read.

Change: the error of the socket is looked up before each read, and handlers of sidecars and of the broker discard what is unread then. Notices of the agent, upstream replies and operators' requests are read as before.

The test fails on the code before, which handles both reads.

--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -73,6 +73,9 @@
         // Without a complete frame no answer is pending, and another connection may need the slot.
         Some(if self.has_received_frame { LINGER_TIME_US } else { 0 })
     }
+    fn reads_after_reset(&self) -> bool {
+        false
+    }
 }
 
 /// Function that builds the decision module for an agent, given its start time and whether it started cold.
@@ -221,6 +224,10 @@
     fn on_half_closed(&mut self) {
         self.dispatcher.with(|_, outbound, _| outbound.close_broker(true));
     }
+    fn reads_after_reset(&self) -> bool {
+        // Deliveries of a lost channel can't be settled, and are delivered again.
+        false
+    }
 }
 
 impl LinkHandler for BrokerConnection {
--- a/net/src/connection.rs
+++ b/net/src/connection.rs
@@ -50,6 +50,12 @@
         None
     }
 
+    /// Returns whether data that arrived before a reset by the peer is still read. `false` is for requests, whose sender no
+    /// longer waits for the answers.
+    fn reads_after_reset(&self) -> bool {
+        true
+    }
+
     /// Returns whether the connection waits for its turn among all such connections while its peer sends as fast as it is
     /// read. `false` is for a peer that all others depend on.
     fn takes_turns(&self) -> bool {
@@ -178,6 +184,9 @@
             if !readable || self.outbox.close_request() != CloseRequest::None {
                 break;
             }
+            if self.is_reset() {
+                return Err(ConnectionEnd::Broken);
+            }
             // While the pool is exhausted, the socket is not read, so that flow control stops the sender.
             let Some(mut buffer) = self.take_buffer() else {
                 progress.no_buffer = true;
@@ -206,6 +215,12 @@
         Ok(())
     }
 
+    /// Reports whether the peer has reset the connection and its unread data is to be discarded. The system still returns
+    /// that data before it reports the reset.
+    fn is_reset(&self) -> bool {
+        !self.handler.reads_after_reset() && !matches!(self.stream.inner().take_error(), Ok(None))
+    }
+
     fn take_buffer(&self) -> Option<PooledBuffer> {
         let mut buffer = self.pool.take()?;
         buffer.resize(BUFFER_BYTES, 0);
@@ -242,6 +257,9 @@
 
     /// Reads data that arrived before the requested close. If there is any, it is handled as usual and cancels the close.
     fn read_before_close(&mut self, progress: &mut Progress) -> Result<(), ConnectionEnd> {
+        if self.is_reset() {
+            return Err(ConnectionEnd::Broken);
+        }
         let Some(mut buffer) = self.take_buffer() else {
             progress.no_buffer = true;
             return Ok(());
--- a/net/tests/busy_peers.rs
+++ b/net/tests/busy_peers.rs
@@ -1,4 +1,4 @@
-//! Connections beside peers that send at full speed, on one core.
+//! Connections beside peers that send at full speed, and connections that their peers reset, on one core.
 
 use asterrill_net::{
     bind, listen, run_connection, spawn, start_worker, BufferPool, ConnectionEnd, ConnectionHandler,
@@ -35,6 +35,7 @@
 struct WorkingHandler {
     outbox: Outbox,
     work: Duration,
+    reads_after_reset: bool,
     events: Sender<Event>,
 }
 
@@ -53,6 +54,9 @@
     fn on_half_closed(&mut self) {
         self.outbox.finish();
     }
+    fn reads_after_reset(&self) -> bool {
+        self.reads_after_reset
+    }
 }
 
 /// Restricts the calling thread, and all threads that it starts, to the first core that it may use.
@@ -66,7 +70,7 @@
 }
 
 /// Starts a server. Returns its address, the outboxes of its connections and their events.
-fn start_server(work: Duration) -> (SocketAddr, Receiver<Outbox>, Receiver<Event>) {
+fn start_server(work: Duration, reads_after_reset: bool) -> (SocketAddr, Receiver<Outbox>, Receiver<Event>) {
     static WORKER: Once = Once::new();
     use_one_core();
     WORKER.call_once(|| start_worker().unwrap());
@@ -80,7 +84,8 @@
             let outbox = Outbox::new(&pool, 64 * BUFFER_BYTES);
             outbox_sender.send(outbox.clone()).unwrap_or_default();
             events.send(Event::Opened).unwrap_or_default();
-            let mut handler = WorkingHandler { outbox: outbox.clone(), work, events: events.clone() };
+            let mut handler =
+                WorkingHandler { outbox: outbox.clone(), work, reads_after_reset, events: events.clone() };
             let end = run_connection(&stream, &outbox, &pool, &mut handler);
             drop((stream, permit));
             events.send(Event::Ended(end)).unwrap_or_default();
@@ -105,7 +110,7 @@
 /// coroutine is always ready, and requests of others were read seconds later or never.
 #[test]
 fn peers_that_keep_the_worker_busy_do_not_delay_others() {
-    let (address, _outboxes, _events) = start_server(Duration::from_micros(300));
+    let (address, _outboxes, _events) = start_server(Duration::from_micros(300), true);
     let mut steady = StdStream::connect(address).unwrap();
     steady.set_read_timeout(Some(TIMEOUT)).unwrap();
     let stop = Arc::new(AtomicBool::new(false));
@@ -124,3 +129,51 @@
     floods.into_iter().for_each(|flood| flood.join().unwrap());
     assert!(reply_times.iter().all(|time| *time < MAX_REPLY_TIME), "{reply_times:?}");
 }
+
+/// Blocks the worker until the returned sender is dropped, so that everything that happens meanwhile is seen at once.
+fn block_worker() -> Sender<()> {
+    let ((release, released), (blocked_sender, blocked)) = (channel::<()>(), channel());
+    spawn("block", move || {
+        blocked_sender.send(()).unwrap();
+        // `recv` of the standard library blocks the whole worker thread, not just this coroutine.
+        released.recv().unwrap_or_default();
+    })
+    .unwrap();
+    blocked.recv_timeout(TIMEOUT).unwrap();
+    release
+}
+
+/// Sends requests and closes the connection before they are read and while a reply is unread, which resets it. Returns what
+/// the server saw then.
+fn events_after_a_reset(reads_after_reset: bool) -> Vec<Event> {
+    let (address, outboxes, events) = start_server(Duration::ZERO, reads_after_reset);
+    let mut stream = StdStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    assert_eq!(events.recv_timeout(TIMEOUT), Ok(Event::Opened));
+    outboxes.recv_timeout(TIMEOUT).unwrap().put(&[b"unread"]);
+    assert_eq!(stream.peek(&mut [0]).unwrap(), 1);
+    let release = block_worker();
+    stream.write_all(&[REQUEST; 2 * BUFFER_BYTES]).unwrap();
+    drop(stream);
+    drop(release);
+    let mut seen = Vec::new();
+    while !seen.last().is_some_and(|event| matches!(event, Event::Ended(_))) {
+        seen.push(events.recv_timeout(TIMEOUT).unwrap());
+    }
+    seen
+}
+
+/// Guards against requests that are run although their sender has closed its connection without waiting for the answers.
+#[test]
+fn requests_that_arrived_before_a_reset_are_discarded() {
+    assert_eq!(events_after_a_reset(false), [Event::Ended(ConnectionEnd::Broken)]);
+}
+
+/// Guards against the loss of notices and replies that a peer sent before its connection was reset.
+#[test]
+fn other_data_that_arrived_before_a_reset_is_read() {
+    let events = events_after_a_reset(true);
+    let is_read = |event: &Event| matches!(event, Event::Read(_));
+    assert_eq!(events.iter().filter(|event| is_read(event)).count(), 2, "{events:?}");
+    assert_eq!(events.last(), Some(&Event::Ended(ConnectionEnd::Broken)));
+}
