An id that has run is not run again when it comes again

Seen: an RPC whose sender had left, or that was answered, was run again when its id came again: three of three times for a single-shot and for an idempotent method, with an agent that does not remember ended ids. With idempotency keys it ran once.

Cause: an id was known only while its RPC was open or its result retained, and such methods retain nothing. The protocol gives each attempt a new id and says that ids are never repeated.

Change: the engine remembers the ids of launched RPCs, a bounded number, those of non-idempotent methods apart. An id that comes again is aborted and counted.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -3,6 +3,7 @@
 
 use crate::config::{CopyBody, EngineConfig, RetentionLimits};
 use crate::idempotency::IdempotencyTable;
+use crate::recent_runs::RecentRuns;
 use crate::request::Command;
 use crate::response_cache::ResponseCache;
 use crate::rpc::RpcState;
@@ -57,6 +58,7 @@
     pub(crate) rpcs: RpcTable<ReplyTo, Body>,
     pub(crate) response_cache: ResponseCache<Body>,
     pub(crate) idempotency: IdempotencyTable,
+    pub(crate) recent_runs: RecentRuns,
     /// Times at which the decision module asked to be woken.
     pub(crate) wakeups: BTreeSet<Us>,
     pub(crate) gauges_available: bool,
@@ -87,6 +89,7 @@
             rpcs: RpcTable::new(),
             response_cache: ResponseCache::new(),
             idempotency: IdempotencyTable::new(idempotency_result_bytes, max_rpc_lifetime),
+            recent_runs: RecentRuns::new(),
             wakeups: BTreeSet::new(),
             gauges_available: false,
             gauges_requested: false,
--- a/engine/src/intake.rs
+++ b/engine/src/intake.rs
@@ -11,7 +11,7 @@
 /// Reason for which an RPC is not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IntakeError {
-    /// Its id belongs to an RPC that is open or whose result is retained.
+    /// Its id belongs to an RPC that is open, that ran recently or whose result is retained.
     IdInUse,
     /// Its requester awaits the answer to another RPC.
     RequesterInUse,
@@ -63,9 +63,12 @@
         Ok(())
     }
 
-    /// Reports whether an RPC with this id is open, or its result is retained for others.
+    /// Reports whether an RPC with this id is open, ran recently, or its result is retained for others.
     fn is_known(&self, id: RpcId) -> bool {
-        self.rpcs.contains(id) || self.response_cache.contains(id) || self.idempotency.contains(id)
+        self.rpcs.contains(id)
+            || self.recent_runs.contains(id)
+            || self.response_cache.contains(id)
+            || self.idempotency.contains(id)
     }
 
     fn arrival_time(&self, request: &IncomingRpc) -> Us {
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -62,6 +62,7 @@
 mod intake;
 mod outcomes;
 mod outputs;
+mod recent_runs;
 mod request;
 mod response_cache;
 mod rpc;
--- a/engine/src/outcomes.rs
+++ b/engine/src/outcomes.rs
@@ -72,8 +72,10 @@
     }
 
     fn launch(&mut self, id: RpcId, out: &mut dyn Outputs<ReplyTo>) {
+        let idempotent = self.control.is_idempotent(id);
         let Some(rpc) = self.rpcs.get_mut(id) else { return };
         rpc.state = RpcState::Running(SentCommand::Launch);
+        self.recent_runs.insert(id, idempotent);
         self.stats.runs += 1;
         out.launch(rpc.reply_to, id, rpc.request.method, rpc.body_bytes());
     }
--- a/engine/src/runs.rs
+++ b/engine/src/runs.rs
@@ -23,6 +23,9 @@
             out.run_completed(rpc.reply_to);
         }
         self.count_run_end(end);
+        if end == RunEnd::NotStarted {
+            self.recent_runs.remove(id);
+        }
         if let RpcState::Calling(call) = state {
             self.abandon_call(id, call, false, out);
         }
