Unfinished frames of many connections stay within the memory limit

Seen: with a limit of 32 MB, 800 connections that had sent all but the end of a frame with 255 short fields took 45.0 MB, 2,500 of them 126.4 MB; 2,500 with half a frame 35.9 MB, and 32.8 MB when they wrote byte by byte. A process with a hard limit is killed.

Cause: the reader kept every field with a known name, also repeated ones, 32 KiB a frame; and the number of connections followed from the descriptors alone.

Change: of several fields with one name the first is kept, the memory of a complete frame is released, and the number of connections is bounded by the memory limit too.

Without the change of the reader its test stores 10,438 bytes halfway and fails.

--- a/daemon/src/change/install.rs
+++ b/daemon/src/change/install.rs
@@ -42,7 +42,8 @@
     dispatcher.with(|core: &mut Core, outbound, now| core.switch_version(now, switch, outbound));
     dispatcher.with(|core, _, _| core.set_settings_hash(content.settings_hash()));
     let globals = configuration.globals();
-    dispatcher.resize(globals.memory_mb, connection_limits::max_connections(globals.sockets));
+    let max_connections = connection_limits::max_connections(globals.sockets, globals.memory_mb);
+    dispatcher.resize(globals.memory_mb, max_connections);
     Ok(())
 }
 
--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -60,6 +60,7 @@
     fn on_data(&mut self, mut bytes: &[u8]) -> bool {
         let read = self.read_frames(&mut bytes);
         let has_partial = read.is_ok() && self.frames.has_partial();
+        self.frames.release_memory();
         self.dispatcher.frame_progress(self.conn, self.has_received_frame, has_partial);
         if let Err(error) = &read {
             self.dispatcher.close_when_answered(self.conn, Some(error.0));
--- a/daemon/src/connection_limits.rs
+++ b/daemon/src/connection_limits.rs
@@ -1,4 +1,4 @@
-//! Limits on connections and upstream links for a given number of file descriptors.
+//! Limits on connections and upstream links for a given number of file descriptors and amount of memory.
 
 /// File descriptors reserved for purposes other than sidecar connections and upstream links. A process without either
 /// of these has 13 open.
@@ -15,7 +15,19 @@
     (descriptors / DESCRIPTORS_PER_UPSTREAM_LINK).clamp(MIN_UPSTREAM_LINKS, MAX_UPSTREAM_LINKS)
 }
 
-/// Returns the maximum number of sidecar connections for this number of file descriptors.
-pub fn max_connections(descriptors: u64) -> usize {
-    descriptors.saturating_sub(RESERVED_DESCRIPTORS + upstream_links(descriptors)).max(1) as usize
+/// Divisor that gives the share of the memory limit for the stacks and the unfinished frames of sidecar connections.
+const CONNECTION_MEMORY_DIVISOR: u64 = 4;
+/// Memory of a sidecar connection without its pooled buffers, in bytes: the used part of its stack, and a frame of which all
+/// but the end has arrived.
+const CONNECTION_BYTES: u64 = 16 * 1024;
+
+/// Returns the maximum number of sidecar connections for this number of file descriptors and this memory limit in MB.
+pub fn max_connections(descriptors: u64, memory_mb: u64) -> usize {
+    let by_descriptors = descriptors.saturating_sub(RESERVED_DESCRIPTORS + upstream_links(descriptors));
+    let by_memory = memory_mb * 1024 * 1024 / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
+    by_descriptors.min(by_memory).max(1) as usize
 }
+
+#[cfg(test)]
+#[path = "tests/connection_limits.rs"]
+mod tests;
--- a/daemon/src/startup.rs
+++ b/daemon/src/startup.rs
@@ -98,7 +98,7 @@
             core,
             agent_link.clone(),
             upstream_links.clone(),
-            max_connections(deployment.sockets),
+            max_connections(deployment.sockets, deployment.memory_mb),
             idle_timeout,
             [pool.clone(), body_pool],
             log.clone(),
--- a/protocol/src/sidecar/reader.rs
+++ b/protocol/src/sidecar/reader.rs
@@ -54,6 +54,7 @@
     remaining_fields: u8,
     name: Vec<u8>,
     body: Vec<u8>,
+    /// Values of the frame's fields. Of several fields with one name, the first counts.
     values: Vec<(&'static str, String)>,
     malformed: bool,
     used_streams: UsedStreams,
@@ -90,6 +91,22 @@
         self.element != Element::Head || !self.stored.is_empty()
     }
 
+    /// Releases the memory of the last frame, if no further one has been received in part.
+    pub fn release_memory(&mut self) {
+        if !self.has_partial() {
+            self.stored = Vec::new();
+            self.name = Vec::new();
+            self.body = Vec::new();
+            self.values = Vec::new();
+        }
+    }
+
+    /// Returns the number of bytes that are stored for the current frame, or for the last one until they are released.
+    pub fn stored_bytes(&self) -> usize {
+        let values: usize = self.values.iter().map(|(_, value)| value.capacity()).sum();
+        self.stored.capacity() + self.name.capacity() + self.body.capacity() + values
+    }
+
     /// Reads the next frame and advances `input` past it. Without a complete frame, all of `input` is consumed.
     ///
     /// # Errors
@@ -194,6 +211,7 @@
     fn store_value(&mut self, complete: bool) {
         let Some(name) = FIELDS.iter().find(|name| name.as_bytes() == self.name) else { return };
         match std::str::from_utf8(&self.stored) {
+            Ok(_) if complete && self.value(name).is_some() => {}
             Ok(value) if complete => self.values.push((name, value.to_string())),
             _ => self.malformed = true,
         }
--- a/protocol/src/tests.rs
+++ b/protocol/src/tests.rs
@@ -274,3 +274,31 @@
     let lines = "launch 00ab look 3\r\nforgo 00ab 4\r\nOP 00ab 251 9\r\nUNOP 00ab\r\n";
     assert_eq!(String::from_utf8_lossy(&to), lines);
 }
+
+/// Guards against connections that hold the memory of very many fields: 800 of them took 54 MB.
+#[test]
+fn memory_of_a_frame_is_bounded_whatever_its_fields() {
+    let value = "v".repeat(128);
+    let fields: Vec<(&str, &str)> = (0..255).map(|n| (RPC_FIELDS[n % 9].0, value.as_str())).collect();
+    let bytes = rpc(1, &fields, &[7; 2_048]);
+    let mut reader = sidecar::Reader::default();
+    for piece in bytes.chunks(100) {
+        let mut piece = piece;
+        while reader.next(&mut piece).unwrap().is_some() {}
+        assert!(reader.stored_bytes() <= 10 * 1024, "{} bytes are stored", reader.stored_bytes());
+    }
+    reader.release_memory();
+    assert_eq!(reader.stored_bytes(), 0);
+}
+
+#[test]
+fn first_of_several_fields_with_one_name_counts() {
+    let mut fields = RPC_FIELDS.to_vec();
+    fields.insert(1, ("route", "other"));
+    let bytes = rpc(1, &fields, b"");
+    let mut reader = sidecar::Reader::default();
+    match reader.next(&mut &bytes[..]) {
+        Ok(Some(sidecar::Frame::Rpc(_, request, _))) => assert_eq!(request.method, "look"),
+        other => panic!("{other:?}"),
+    }
+}
