The control socket counts the values of a request before it parses them

Seen: one client that sent lines of 4 MiB with two million values each made the process take 75.1 MB under a limit of 64 MB; eight clients 84.4 MB.

Cause: the length of a request is bounded, its number of values was not, and a parsed value takes many times the memory of its text.

Change: a request may have 20,000 values, counted before it is parsed.

The test fails on the code before, which parses the line.

--- a/daemon/src/control_request.rs
+++ b/daemon/src/control_request.rs
@@ -8,6 +8,9 @@
 /// Supported version of the protocol.
 const PROTOCOL_VERSION: u64 = 1;
 
+/// Maximum number of values in a request besides those of its texts. A value takes up to 300 bytes once it is parsed.
+const MAX_REQUEST_VALUES: usize = 20_000;
+
 /// Parses a request.
 ///
 /// A long text is moved out of the parsed line instead of being copied, and the line is dropped right after parsing.
@@ -15,11 +18,29 @@
 /// # Errors
 /// The line is not a valid request. The text is meant for the operator.
 pub fn parse(line: String) -> Result<Request, String> {
+    if !has_few_values(&line) {
+        return Err(format!("a request may have at most {MAX_REQUEST_VALUES} values"));
+    }
     let fields: Value = serde_json::from_str(&line).map_err(|e| format!("not valid JSON: {e}"))?;
     drop(line);
     Fields(fields).into_request()
 }
 
+/// Reports whether JSON has at most [`MAX_REQUEST_VALUES`] values, without parsing it. Text inside strings doesn't count.
+fn has_few_values(json: &str) -> bool {
+    let (mut in_string, mut escaped, mut values) = (false, false, 0);
+    for byte in json.bytes() {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' => escaped = in_string,
+            b'"' => in_string = !in_string,
+            b',' | b'[' | b'{' if !in_string => values += 1,
+            _ => {}
+        }
+    }
+    values <= MAX_REQUEST_VALUES
+}
+
 /// JSON object of a request.
 struct Fields(Value);
 
--- a/daemon/src/tests/control_socket.rs
+++ b/daemon/src/tests/control_socket.rs
@@ -53,6 +53,11 @@
         let line = send_request(&path, request);
         assert!(line.contains(part), "{line} does not contain {part}");
     }
+    // Parsed values take many times the memory of their text, so that they are counted before.
+    let many_values = format!("{{\"v\": 1, \"do\": \"status\", \"more\": [{}0]}}\n", "0,".repeat(2_000_000));
+    assert!(send_request(&path, many_values.as_bytes()).contains("at most 20000 values"));
+    let long_text = format!("{{\"v\": 1, \"do\": \"stage\", \"step\": \"{}\"}}\n", "[,{\\\"".repeat(100_000));
+    assert!(send_request(&path, long_text.as_bytes()).contains("source: Step"));
     let long = vec![b'x'; MAX_REQUEST_BYTES as usize + 1];
     assert!(send_request(&path, &long).contains("one line of at most 4 MiB"));
     // The incomplete request is rejected after its time limit.
