The expected wait of an RPC counts the work ahead of its own place in the queue

Seen: beside senders that fill the queue, RPCs of callers that send little were refused at once as too late or expired, though a full account goes first in the queue.

Cause: the wait was taken from the work of the whole band of equal weight. Log lines of a trial build showed all refusals of light callers as too late with 20 to 36 RPCs queued, all of spent accounts, which come after them.

Change: work is summed by weight and by 32 levels of the relative buffer; an RPC waits for what is ahead of its place after the charge.

Measured: the test is refused on the code before and admitted now.

--- a/src/control/admission.rs
+++ b/src/control/admission.rs
@@ -172,8 +172,10 @@
         let Candidate { time_limits, forecast, .. } = candidate;
         let key_kb = if candidate.retention > 0 { self.keys.entry_kb } else { 0.0 };
         let fits = self.memory.fits(self.keys.used_kb() + key_kb, 0.0);
-        let queue_wait =
-            self.queue.work_ahead(candidate.key.band) * forecast.slowdown / self.concurrency.target;
+        let buffer_after_charge =
+            (candidate.buf_value - forecast.max_cost).max(0.0) / self.accounts.buf_limit;
+        let position = candidate.key.with_relative_buffer(buffer_after_charge).position();
+        let queue_wait = self.queue.work_ahead(position) * forecast.slowdown / self.concurrency.target;
         let lateness =
             self.now as f64 + queue_wait + forecast.serving_time - time_limits.on_time_until as f64;
         let too_late = lateness > 0.0 && self.cores.running > 0;
--- a/src/tests/admission.rs
+++ b/src/tests/admission.rs
@@ -94,3 +94,22 @@
     harness.end_run(running[0], RunEnd::Ok);
     assert_eq!(harness.health, Some(true));
 }
+
+/// Guards against the refusal of a light caller whose RPC goes ahead of those that fill the queue.
+#[test]
+fn rpcs_of_heavy_callers_that_come_after_it_do_not_make_an_rpc_late() {
+    let mut harness = idle_server();
+    let running = harness.read_many(CORES);
+    for heavy_caller in 1..=3 {
+        let accepted = |harness: &mut Harness| {
+            let id = harness.read(0, heavy_caller, 0, 1_500 * MS, None);
+            harness.rpcs[&id].answer_due
+        };
+        while accepted(&mut harness) {}
+    }
+    let light = harness.read(0, 99, 0, 1_500 * MS, None);
+    assert!(harness.rpcs[&light].answer_due, "the RPC is refused because of those that come after it");
+    // One RPC of each heavy caller is charged to a full account as well, and is older.
+    running.into_iter().for_each(|id| harness.end_run(id, RunEnd::Ok));
+    assert_eq!(harness.rpcs[&light].position, Position::Running);
+}
