An RPC is charged to the account of its connection, not to a number that it states

Seen: one connection of sound requests at full speed, each under a new client number, had all 75 requests of four steady connections refused in 4 s, with the backend on one core; memory went from 6.5 to 51.8 MB. Eight such connections: 0 of 76 served, 130.2 MB under a limit of 64. Eight that stated the numbers of others: 0 of 76.

Cause: accounts belonged to the stated number. A new number had a full account and a share of everyone's recharge and credit, and stayed for a minute.

Change: each connection has an account, and a closed one's goes to the next connection with its balance. The stated number only counts among the callers over which credit is divided, once for each connection. A queue has one account; a caller header is a stated number like that of sidecars.

Three tests of the daemon fail on the code before and pass now.

--- a/consumer/src/action.rs
+++ b/consumer/src/action.rs
@@ -1,6 +1,6 @@
 //! Actions that a [`crate::QueueConsumer`] requests from the owner of the session and of the engine.
 
-use asterrill::{CallerId, MethodId, Us};
+use asterrill::{Caller, MethodId, Us};
 use asterrill_protocol::amqp::{DeliveryTag, Settlement};
 
 /// Id of a message in flight, by which the engine addresses its answer. The upper 16 bits are the queue's number.
@@ -17,7 +17,7 @@
     /// Index of the tenant, if tenants are configured.
     pub tenant: Option<usize>,
     /// Caller, for fair shares among callers.
-    pub caller: CallerId,
+    pub caller: Caller,
     /// Time by which the message must be answered, in microseconds.
     pub deadline: Us,
     /// Memory that the message is accounted for, in kB.
--- a/consumer/src/routes.rs
+++ b/consumer/src/routes.rs
@@ -1,12 +1,12 @@
 //! Method, tenant and caller of a delivery.
 
 use crate::config::ConsumerConfig;
-use asterrill::{CallerId, Idempotency, MethodId};
+use asterrill::{Caller, CallerId, Idempotency, MethodId};
 use asterrill_protocol::amqp::MessageProperties;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Bit that is set in caller ids derived from a name, so that they differ from the 32-bit ids that sidecars send.
-const NAMED_CALLER_BIT: u64 = 1 << 63;
+/// Bits that are set in caller ids derived from a name, so that they differ from 32-bit ids and from other accounts.
+const NAMED_CALLER_BITS: u64 = 0b11 << 62;
 /// Maximum number of characters of an unknown name in a log line.
 const MAX_NAME_CHARS: usize = 64;
 
@@ -26,7 +26,7 @@
     pub(crate) method: MethodId,
     pub(crate) idempotency: Idempotency,
     pub(crate) tenant: Option<usize>,
-    pub(crate) caller: CallerId,
+    pub(crate) caller: Caller,
 }
 
 /// Reason why a delivery has no route.
@@ -42,8 +42,8 @@
     UnknownTenant(String),
 }
 
-/// Returns the route of a delivery. The id of a caller that is not a number is derived from its name; without a caller,
-/// it is derived from the queue's name.
+/// Returns the route of a delivery. The id of a caller that is not a number is derived from its name. The account charged is
+/// that of the queue's default caller; without one, that of the queue's name.
 pub(crate) fn route(
     properties: &MessageProperties, config: &ConsumerConfig, catalog: &dyn Catalog,
 ) -> Result<Route, RouteError> {
@@ -51,7 +51,10 @@
     let (method, idempotency) =
         catalog.method(method_name).ok_or_else(|| RouteError::UnknownMethod(truncated(method_name)))?;
     let tenant = tenant_of(properties, config, catalog)?;
-    let caller = caller_id(config.caller.read(properties).unwrap_or(&config.name));
+    // Whoever publishes the message chooses its headers, so that they can't select the account.
+    let account = caller_id(config.caller.default.as_deref().unwrap_or(&config.name));
+    let stated = config.caller.read(properties).map_or(account, caller_id);
+    let caller = Caller { account, stated };
     Ok(Route { method, idempotency, tenant, caller })
 }
 
@@ -68,7 +71,7 @@
 
 /// Returns the id of a caller: the number itself if the text is one, else a hash of the text.
 fn caller_id(text: &str) -> CallerId {
-    let number = text.parse::<u32>().map_or_else(|_| xxh3_64(text.as_bytes()) | NAMED_CALLER_BIT, u64::from);
+    let number = text.parse::<u32>().map_or_else(|_| xxh3_64(text.as_bytes()) | NAMED_CALLER_BITS, u64::from);
     CallerId(number)
 }
 
--- a/consumer/src/tests/queue.rs
+++ b/consumer/src/tests/queue.rs
@@ -1,11 +1,12 @@
 //! Tests of a queue's consumer with the simulated broker and engine of the harness.
 
 use super::harness::{config, Harness, QueuedMessage, TestCatalog, MS, S};
-use crate::{Action, ConsumerConfig};
-use asterrill::Us;
+use crate::routes::route;
+use crate::{Action, ConsumerConfig, FieldSource};
+use asterrill::{Caller, CallerId, Us};
 use asterrill_protocol::amqp::{Delivery, DeliveryTag, MessageProperties, Settlement};
 use quickcheck::Gen;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Applies random sequences of inputs. Checks that each tag is settled once, that messages of methods that must not run
 /// twice run once, and that every message is settled.
@@ -583,6 +584,24 @@
     );
 }
 
+/// Guards against a publisher that gets an account for each caller that it names in the headers of its messages.
+#[test]
+fn header_of_a_message_selects_no_account() {
+    let mut config = config("read");
+    config.caller = FieldSource { header: Some("from".into()), ..FieldSource::default() };
+    let caller_of = |config: &ConsumerConfig, from: &str| {
+        let headers = BTreeMap::from([("from".to_string(), from.to_string())]);
+        let properties = MessageProperties { headers, ..MessageProperties::default() };
+        route(&properties, config, &TestCatalog).unwrap().caller
+    };
+    let callers: Vec<Caller> = ["1", "2", "shop"].iter().map(|from| caller_of(&config, from)).collect();
+    assert!(callers.iter().all(|caller| caller.account == callers[0].account));
+    assert_eq!((callers[0].stated, callers[1].stated), (CallerId(1), CallerId(2)));
+    assert_ne!(callers[2].stated, callers[0].stated);
+    config.caller.default = Some("7".into());
+    assert_eq!(caller_of(&config, "1"), Caller { account: CallerId(7), stated: CallerId(1) });
+}
+
 #[test]
 fn tolerates_a_clock_set_back() {
     let mut harness = Harness::new(config("read"));
--- a/daemon/src/core/sidecar_rpcs.rs
+++ b/daemon/src/core/sidecar_rpcs.rs
@@ -81,11 +81,12 @@
         let keys = self.keys_of(method, request, body, coalescible);
         let now = self.engine.advance_to(now);
         let delay_start = request.arrived_at.max(self.state.first_greeting_at.unwrap_or(now));
+        let caller = self.state.sidecars.caller(conn, request.caller);
         Some(IncomingRpc {
             id: request.id,
             method,
             tenant,
-            caller: request.caller,
+            caller,
             deadline: request.deadline,
             read_delay: now.saturating_sub(delay_start),
             size_kb: request.size_kb,
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with code 0 after a graceful shutdown.
 
+mod account_slots;
 mod agent_session;
 mod arguments;
 mod change;
--- a/daemon/src/recovery.rs
+++ b/daemon/src/recovery.rs
@@ -3,6 +3,7 @@
 //! Connects the decisions of `asterrill-recovery` to the figures of the engine. This module does no I/O: the stored
 //! snapshot and clock readings are passed in, and the snapshot to store is returned.
 
+use crate::account_slots::is_connection_account;
 use asterrill::{
     CallerId, LearnedAllowance, LearnedBalance, LearnedCost, LearnedState, MethodId, RecoveryLimits, Status,
     Us,
@@ -233,6 +234,7 @@
     ) -> Snapshot {
         let balance =
             |account: &LearnedBalance| AccountBalance { caller: account.caller.0, fraction: account.ratio };
+        let outlives_restart = |account: &&LearnedBalance| !is_connection_account(account.caller);
         Snapshot {
             name: self.config.name.clone(),
             settings_hash: self.config.settings_hash,
@@ -243,7 +245,7 @@
             concurrency_target: learned.concurrency_target.unwrap_or(0.0),
             slowdown: learned.slowdown.unwrap_or(0.0),
             call_failures: learned.call_failures,
-            accounts: learned.accounts.iter().map(balance).collect(),
+            accounts: learned.accounts.iter().filter(outlives_restart).map(balance).collect(),
             tenants: tenant_allowances(&learned, active),
         }
     }
--- a/daemon/src/tests/harness.rs
+++ b/daemon/src/tests/harness.rs
@@ -68,11 +68,17 @@
     }
     pub(super) fn send_rpc_with_body(
         &mut self, conn: u64, method: &str, timeout: Us, key: Option<u64>, body: Vec<u8>,
+    ) -> SidecarStream {
+        self.send_rpc_as(conn, CallerId(conn), method, timeout, key, body)
+    }
+    /// Sends an RPC on a connection that states to be this caller.
+    pub(super) fn send_rpc_as(
+        &mut self, conn: u64, caller: CallerId, method: &str, timeout: Us, key: Option<u64>, body: Vec<u8>,
     ) -> SidecarStream {
         self.next_id += 1;
         let id = RpcId::new(&format!("{:016x}", self.next_id)).unwrap();
         let stream = SidecarStream { conn: ConnectionId(conn), stream: StreamId(self.next_id as u32) };
-        let (caller, deadline) = (CallerId(conn), Some(self.now + timeout));
+        let deadline = Some(self.now + timeout);
         let (method, tenant) = (method.to_string(), "acme".to_string());
         let request = RpcRequest {
             id,
--- a/daemon/src/tests/sidecar_rpcs.rs
+++ b/daemon/src/tests/sidecar_rpcs.rs
@@ -149,3 +149,49 @@
     }
     assert!(harness.now + 50 * MS > arrived_at + DEADLINE && waited_ms > 100, "too early: {waited_ms} ms");
 }
+
+/// Sends RPCs of one connection, each of which states the caller that `caller_of` returns for its index.
+fn send_many_as(harness: &mut CoreHarness, caller_of: impl Fn(u64) -> u64) {
+    for n in 0..30 {
+        let body = format!("own {n}").into_bytes();
+        harness.send_rpc_as(1, CallerId(caller_of(n)), "look", 900 * MS, None, body);
+    }
+}
+
+/// Guards against a client that gets an account, and with it a share of the server, for each number that it makes up.
+#[test]
+fn stated_callers_of_a_connection_share_one_account_and_leave_others_their_share() {
+    let mut harness = CoreHarness::new(31);
+    send_many_as(&mut harness, |n| 1_000 + n);
+    let steady = harness.send_rpc(2, "look", 900 * MS, None);
+    assert_eq!(harness.peers.answers.get(&steady), None, "the RPC of the other connection is accepted");
+    assert_eq!(harness.core.learned().accounts.len(), 2, "one account for each connection");
+    harness.run_to_completion();
+}
+
+/// Guards against a client that spends the account of another by stating its number.
+#[test]
+fn stating_the_number_of_another_connection_does_not_charge_its_account() {
+    let mut harness = CoreHarness::new(32);
+    let first = harness.send_rpc(2, "look", 900 * MS, None);
+    harness.advance_run(1, false);
+    harness.deliver_notices(usize::MAX);
+    assert_eq!(harness.peers.answers[&first].0, "ok");
+    send_many_as(&mut harness, |_| 2);
+    let steady = harness.send_rpc(2, "look", 900 * MS, None);
+    assert_eq!(harness.peers.answers.get(&steady), None, "the RPC of the other connection is accepted");
+    harness.run_to_completion();
+}
+
+/// Guards against accounts that accumulate with the connections and the callers that they state.
+#[test]
+fn accounts_are_as_many_as_connections_were_open_at_a_time() {
+    let mut harness = CoreHarness::new(33);
+    for conn in 10..200 {
+        let body = format!("own {conn}").into_bytes();
+        harness.send_rpc_as(conn, CallerId(conn * 7), "look", 900 * MS, None, body);
+        harness.core.connection_closed(harness.now, ConnectionId(conn), &mut harness.peers);
+        harness.advance(MS);
+    }
+    assert_eq!(harness.core.learned().accounts.len(), 1);
+}
--- a/engine/src/request.rs
+++ b/engine/src/request.rs
@@ -1,7 +1,7 @@
 //! Incoming RPCs and the commands sent to their executors.
 
 use crate::idempotency::IdempotencyKey;
-use asterrill::{CallerId, MethodId, RpcId, Us};
+use asterrill::{Caller, MethodId, RpcId, Us};
 
 /// RPC as received by a front end.
 #[derive(Clone, Debug)]
@@ -13,7 +13,7 @@
     /// Index of its tenant; none where no tenants are configured.
     pub tenant: Option<usize>,
     /// Caller that sent it.
-    pub caller: CallerId,
+    pub caller: Caller,
     /// Time at which its caller stops waiting, in microseconds. If none is given, the deadline of its method applies,
     /// counted from its arrival.
     pub deadline: Option<Us>,
--- a/engine/src/tests/harness.rs
+++ b/engine/src/tests/harness.rs
@@ -203,7 +203,7 @@
             id,
             method: MethodId(method),
             tenant: None,
-            caller: CallerId(requester % 3),
+            caller: CallerId(requester % 3).into(),
             deadline: Some(self.now + timeout),
             read_delay: unread,
             size_kb: 10.0,
--- a/engine/src/tests/window_changes.rs
+++ b/engine/src/tests/window_changes.rs
@@ -78,7 +78,7 @@
         id: RpcId::from_number(n),
         method: MethodId(KEYED_METHOD),
         tenant: None,
-        caller: CallerId(n % 3),
+        caller: CallerId(n % 3).into(),
         deadline: None,
         read_delay: 0,
         size_kb: 0.01,
--- a/settings/tests/valid_settings.rs
+++ b/settings/tests/valid_settings.rs
@@ -52,7 +52,7 @@
         let method = MethodId(n as usize % server.idempotency.len());
         let deadline = (n % 3 > 0).then_some(now + 300 * MS);
         let original = (n % 11 == 10).then(|| RpcId::from_number(n - 1));
-        let (id, caller, unread_for) = (RpcId::from_number(n), CallerId(n % 5), n % 4 * MS);
+        let (id, caller, unread_for) = (RpcId::from_number(n), CallerId(n % 5).into(), n % 4 * MS);
         let tenant = (n % 2 == 0 && !server.tenants.is_empty()).then_some(0);
         let arrival = Arrival {
             id,
--- a/simulator/src/decode.rs
+++ b/simulator/src/decode.rs
@@ -43,7 +43,7 @@
     Ok(Arrival {
         method: instance.method(text(item, "Cls")?)?,
         id: rpc_id(item)?,
-        caller: CallerId(optional_number(item, "Sender")?.unwrap_or(0.0) as u64),
+        caller: CallerId(optional_number(item, "Sender")?.unwrap_or(0.0) as u64).into(),
         deadline: optional_number(item, "NotAfterMs")?.filter(|at| *at > 0.0).map(micros_from_millis),
         size_kb: number(item, "SizeKb")?,
         unread_for: optional_time(item, "UnreadForMs")?,
--- a/src/caller_accounts.rs
+++ b/src/caller_accounts.rs
@@ -3,7 +3,7 @@
 //! The terms buf_value, buf_limit, buf_correction, mrr (minimum recharge rate), max_cost and real_cost are those of the
 //! published design (`docs/design.md`). Amounts are nanoseconds of serving time.
 
-use crate::ids::{CallerId, Us};
+use crate::ids::{Caller, CallerId, Us};
 use crate::tuning::ACTIVITY_WINDOW;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -18,6 +18,8 @@
 
 /// The account of one caller.
 pub(crate) struct Account {
+    /// The number that the caller stated last.
+    stated: CallerId,
     pub(crate) buf_value: f64,
     buf_correction: f64,
     last_update: Us,
@@ -40,8 +42,10 @@
     pub(crate) buffer_span_ms: f64,
     /// Number of callers in the settings.
     pub(crate) expected_callers: f64,
-    /// Number of callers seen in the last second, at least 1.
+    /// Number of accounts charged in the last second, at least 1.
     pub(crate) active: f64,
+    /// Number of different callers that these accounts state to be, at least 1.
+    pub(crate) active_callers: f64,
     pub(crate) mrr: f64,
     pub(crate) buf_limit: f64,
 }
@@ -57,6 +61,7 @@
             buffer_span_ms: shortest_target as f64 / 1e3 * BUFFER_TARGET_FRACTION,
             expected_callers,
             active: expected_callers,
+            active_callers: expected_callers,
             mrr: 1e6,
             buf_limit: 0.0,
         }
@@ -66,12 +71,22 @@
     /// highest max_cost of all methods, in microseconds.
     pub(crate) fn redistribute(&mut self, now: Us, concurrency_target: f64, highest_max_cost: f64) {
         self.remove_unused(now);
-        let active_since = now.saturating_sub(ACTIVITY_WINDOW);
-        self.active = self.by_last_seen.range((active_since, CallerId(0))..).count().max(1) as f64;
+        self.count_active(now);
         self.mrr = concurrency_target * 1e6 / self.active;
         self.buf_limit = (self.mrr * self.buffer_span_ms).max(highest_max_cost * 1e3 * MIN_BUFFERED_RPCS);
     }
 
+    fn count_active(&mut self, now: Us) {
+        let active_since = now.saturating_sub(ACTIVITY_WINDOW);
+        let active = self.by_last_seen.range((active_since, CallerId(0))..);
+        let stated = |(_, caller): &(Us, CallerId)| self.accounts.get(caller).map(|account| account.stated);
+        let mut stated: Vec<CallerId> = active.filter_map(stated).collect();
+        self.active = stated.len().max(1) as f64;
+        stated.sort_unstable();
+        stated.dedup();
+        self.active_callers = stated.len().max(1) as f64;
+    }
+
     fn remove_unused(&mut self, now: Us) {
         while let Some((last_seen, caller)) = self.by_last_seen.first().copied() {
             if last_seen + ACCOUNT_LIFETIME > now {
@@ -83,8 +98,9 @@
     }
 
     /// Records that the caller sent an RPC, and returns its buf_value.
-    pub(crate) fn record_seen(&mut self, now: Us, caller: CallerId) -> f64 {
+    pub(crate) fn record_seen(&mut self, now: Us, Caller { account: caller, stated }: Caller) -> f64 {
         let account = self.recharge(now, caller);
+        account.stated = stated;
         let buf_value = account.buf_value;
         let previous_last_seen = std::mem::replace(&mut account.last_seen, now);
         self.by_last_seen.remove(&(previous_last_seen, caller));
@@ -95,7 +111,13 @@
     /// Recharges an account up to `now` and returns it. A new account starts full.
     pub(crate) fn recharge(&mut self, now: Us, caller: CallerId) -> &mut Account {
         let limit = self.buf_limit;
-        let full = Account { buf_value: limit, buf_correction: 0.0, last_update: now, last_seen: now };
+        let full = Account {
+            stated: caller,
+            buf_value: limit,
+            buf_correction: 0.0,
+            last_update: now,
+            last_seen: now,
+        };
         let account = self.accounts.entry(caller).or_insert(full);
         account.buf_value =
             (account.buf_value + self.mrr * (now - account.last_update) as f64 / 1e3).min(limit);
--- a/src/control/admission.rs
+++ b/src/control/admission.rs
@@ -134,7 +134,7 @@
         self.memory.used_kb += arrival.size_kb;
         let rpc = Rpc {
             method: arrival.method,
-            caller: arrival.caller,
+            caller: arrival.caller.account,
             size_kb: arrival.size_kb,
             stage: if candidate.coalesces() { Stage::Coalesced } else { Stage::Queued },
             key: *key,
@@ -205,7 +205,7 @@
     fn enqueue(&mut self, candidate: &Candidate) {
         let Candidate { arrival, forecast, time_limits, retention, .. } = candidate;
         let (now, id) = (self.now, arrival.id);
-        let charge = self.accounts.charge(now, arrival.caller, forecast.max_cost);
+        let charge = self.accounts.charge(now, arrival.caller.account, forecast.max_cost);
         let key = candidate.key.with_relative_buffer(charge.relative_buffer);
         self.rpcs.entry(id).and_modify(|rpc| (rpc.charged, rpc.key) = (charge.amount, key));
         self.queue.push(key, forecast.work);
--- a/src/control/inputs.rs
+++ b/src/control/inputs.rs
@@ -147,7 +147,7 @@
         self.concurrency.adjust(self.now, gauges, self.cores.running as f64, self.slowdown);
         self.redistribute_accounts();
         self.outcome.close_idle_after = gauges.connections.and_then(|open| {
-            self.feedback.adjust_idle_timeout(open, self.accounts.active, self.concurrency.cores)
+            self.feedback.adjust_idle_timeout(open, self.accounts.active_callers, self.concurrency.cores)
         });
         // Without runs nothing can show that the server has recovered, so the slowdown decays towards 1.
         if self.cores.running == 0 {
--- a/src/control/publication.rs
+++ b/src/control/publication.rs
@@ -59,7 +59,7 @@
     /// Returns the number of RPCs that each caller may have outstanding at this server.
     fn credit(&mut self, backlog: f64, serving: bool) -> f64 {
         let target = self.concurrency.target;
-        let share = (target + self.calls.occupancy(self.now)) / self.accounts.active;
+        let share = (target + self.calls.occupancy(self.now)) / self.accounts.active_callers;
         let idle = (self.cores.running as f64) < target && self.queue.is_empty() && backlog <= 1.0;
         if !serving {
             0.0
@@ -79,7 +79,7 @@
         if self.concurrency.speed(self.now) >= 1.0 {
             return f64::INFINITY;
         }
-        let callers = self.accounts.expected_callers.max(self.accounts.active);
+        let callers = self.accounts.expected_callers.max(self.accounts.active_callers);
         self.concurrency.sustainable_rpcs(self.now) / callers
     }
 }
--- a/src/events.rs
+++ b/src/events.rs
@@ -1,6 +1,6 @@
 //! Events that the server reports to the decision module: arrivals, ends of runs and calls, gauges.
 
-use crate::ids::{CallerId, MethodId, RpcId, Us};
+use crate::ids::{Caller, MethodId, RpcId, Us};
 
 /// One RPC as it was read from its connection.
 #[derive(Clone, Debug)]
@@ -10,7 +10,7 @@
     /// The requested method.
     pub method: MethodId,
     /// The caller that sent it.
-    pub caller: CallerId,
+    pub caller: Caller,
     /// The deadline that the caller sent. Without one, the method's deadline applies.
     pub deadline: Option<Us>,
     /// Memory that it occupies while queued, in kB.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -57,3 +57,21 @@
 /// The number of a caller: a client process or a sidecar.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallerId(pub u64);
+
+/// The sender of an RPC.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// The account that is charged. A front end derives it from what the sender can't choose, such as its connection;
+    /// otherwise a sender gets as many accounts, each with a share of the server, as it makes up numbers.
+    pub account: CallerId,
+    /// The number that the sender states. Accounts with the same number count as one caller when the credit for each caller
+    /// is published; a sender that lies about it changes nothing but that count, by one for each of its accounts.
+    pub stated: CallerId,
+}
+
+impl From<CallerId> for Caller {
+    /// Returns a sender whose stated number is known to be true.
+    fn from(caller: CallerId) -> Caller {
+        Caller { account: caller, stated: caller }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,7 +43,7 @@
 pub use drain::Drain;
 pub use events::{Arrival, CallEnd, Gauges, RunEnd};
 pub use idempotency_keys::IdempotencyKeys;
-pub use ids::{CallerId, MethodId, RpcId, Us};
+pub use ids::{Caller, CallerId, MethodId, RpcId, Us};
 pub use learned_state::{LearnedAllowance, LearnedBalance, LearnedCost, LearnedState};
 pub use memory_budget::MemoryBudget;
 pub use method::{Idempotency, Method, SettingsUpdate, StopMode};
--- a/src/tests/accounts.rs
+++ b/src/tests/accounts.rs
@@ -39,7 +39,7 @@
 fn target_is_divided_among_callers_seen_in_the_last_second() {
     let mut accounts = CallerAccounts::new(500 * MS, 3_000);
     for caller in 0..3_000 {
-        accounts.record_seen(caller * MS, CallerId(caller));
+        accounts.record_seen(caller * MS, CallerId(caller).into());
     }
     accounts.redistribute(3_000 * MS, 4.0, 1.6e3);
     assert_eq!(accounts.mrr, 4e6 / 1_000.0);
@@ -47,6 +47,22 @@
     assert_eq!((accounts.mrr, accounts.accounts.len()), (4e6, 0), "unused accounts must be removed");
 }
 
+/// Guards against a share for each number that a sender states. Its accounts count, and equal numbers are one caller.
+#[test]
+fn stated_numbers_add_no_account_and_accounts_with_one_number_are_one_caller() {
+    let mut accounts = CallerAccounts::new(500 * MS, 1);
+    for n in 0..1_000 {
+        accounts.record_seen(n, Caller { account: CallerId(n % 4), stated: CallerId(1_000 + n) });
+    }
+    accounts.redistribute(1_000, 4.0, 1.6e3);
+    assert_eq!((accounts.mrr, accounts.active, accounts.active_callers), (1e6, 4.0, 4.0));
+    for n in 0..4 {
+        accounts.record_seen(2_000, Caller { account: CallerId(n), stated: CallerId(n % 2) });
+    }
+    accounts.redistribute(3_000, 4.0, 1.6e3);
+    assert_eq!((accounts.mrr, accounts.active, accounts.active_callers), (1e6, 4.0, 2.0));
+}
+
 #[test]
 fn tenant_weight_drops_only_after_the_allowance_is_used_up() {
     let mut quotas = TenantQuotas::new(&[10.0], 5, 0.1);
--- a/src/tests/commit.rs
+++ b/src/tests/commit.rs
@@ -102,7 +102,7 @@
                 let arrival = Arrival {
                     id: RpcId::from_number(n),
                     method: MethodId(n as usize % 2),
-                    caller: CallerId(n % 3),
+                    caller: CallerId(n % 3).into(),
                     deadline: None,
                     size_kb: 10.0,
                     unread_for: 0,
--- a/src/tests/fixtures.rs
+++ b/src/tests/fixtures.rs
@@ -50,7 +50,7 @@
     let arrival = Arrival {
         id: RpcId::from_number(n),
         method: MethodId(method),
-        caller: CallerId(n % 2),
+        caller: CallerId(n % 2).into(),
         deadline: Some(now + 900 * MS),
         size_kb: 10.0,
         unread_for: 0,
--- a/src/tests/harness.rs
+++ b/src/tests/harness.rs
@@ -132,7 +132,7 @@
         let arrival = Arrival {
             id,
             method: MethodId(method),
-            caller: CallerId(caller),
+            caller: CallerId(caller).into(),
             deadline: self.config.sends_deadline.then_some(deadline),
             size_kb: RPC_KB,
             unread_for,
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -129,7 +129,7 @@
         let arrival = Arrival {
             id,
             method: MethodId(0),
-            caller: CallerId(caller as u64),
+            caller: CallerId(caller as u64).into(),
             deadline: Some(now + 1_500 * MS),
             size_kb: 1.0,
             unread_for: 0,
