Frames that are completed in time end the wait for a frame that stopped halfway

Seen: connections that send sound requests with 2 KB bodies as fast as they are read were closed with "a frame stopped halfway" after some seconds: one of one, eight of eight and five of forty in 6 s, with what was in flight on them.

Cause: the time of a partial frame ended only with a read that did not end within a frame. Where the peer is always ahead of its reader, next to no read does.

Change: the age of a part counts from the read in which its frame began. Replies of the upstream tier, with the same fault, share the type. The bounds are the same.

--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -2,7 +2,7 @@
 //!
 //! Each handler passes received bytes to the state machine of its protocol, and the resulting messages to the core.
 
-use crate::dispatcher::Dispatcher;
+use crate::dispatcher::{Dispatcher, ReadProgress};
 use crate::ids::{ConnectionId, SidecarStream};
 use asterrill::Us;
 use asterrill_engine::UpstreamLinkId;
@@ -30,9 +30,11 @@
 }
 
 impl SidecarConnection {
-    fn read_frames(&mut self, bytes: &mut &[u8]) -> Result<(), ProtocolError> {
+    /// Reads all complete frames. `completed` is set if there is one, also if an error follows it.
+    fn read_frames(&mut self, bytes: &mut &[u8], completed: &mut bool) -> Result<(), ProtocolError> {
         let conn = self.conn;
         while let Some(frame) = self.frames.next(bytes)? {
+            *completed = true;
             self.has_received_frame = true;
             let accepted = self.dispatcher.with(|core, outbound, now| match frame {
                 sidecar::Frame::Rpc(stream, request, body) => {
@@ -58,10 +60,11 @@
 
 impl ConnectionHandler for SidecarConnection {
     fn on_data(&mut self, mut bytes: &[u8]) -> bool {
-        let read = self.read_frames(&mut bytes);
+        let mut completed = false;
+        let read = self.read_frames(&mut bytes, &mut completed);
         let has_partial = read.is_ok() && self.frames.has_partial();
         self.frames.release_memory();
-        self.dispatcher.frame_progress(self.conn, self.has_received_frame, has_partial);
+        self.dispatcher.frame_progress(self.conn, ReadProgress { completed, has_partial });
         if let Err(error) = &read {
             self.dispatcher.close_when_answered(self.conn, Some(error.0));
         }
@@ -174,15 +177,17 @@
 
 impl ConnectionHandler for UpstreamConnection {
     fn on_data(&mut self, mut bytes: &[u8]) -> bool {
+        let mut completed = false;
         loop {
             match self.replies.next(&mut bytes) {
                 Ok(None) => {
-                    self.dispatcher.reply_progress(self.link, self.replies.has_partial());
+                    let has_partial = self.replies.has_partial();
+                    self.dispatcher.reply_progress(self.link, ReadProgress { completed, has_partial });
                     return true;
                 }
                 Ok(Some(reply)) => self.dispatcher.with(|core, outbound, now| {
                     core.call_ended(now, self.link, reply.id, reply.end, reply.body, outbound);
-                    self.received_reply = true;
+                    (completed, self.received_reply) = (true, true);
                 }),
                 Err(error) => {
                     warn!(self.dispatcher.log, "upstream link failed; reconnecting"; "why" => error.0);
@@ -206,7 +211,7 @@
         self.replies = upstream::Reader::default();
     }
     fn on_disconnected(&mut self, refused: bool) -> bool {
-        self.dispatcher.reply_progress(self.link, false);
+        self.dispatcher.reply_progress(self.link, ReadProgress::NOTHING_READ);
         self.dispatcher.with(|core, outbound, now| core.link_ended(now, self.link, refused, outbound));
         std::mem::take(&mut self.received_reply)
     }
--- a/daemon/src/dispatcher.rs
+++ b/daemon/src/dispatcher.rs
@@ -7,7 +7,9 @@
 mod eviction;
 mod outbound;
 mod outboxes;
+mod partial_message;
 mod shared;
 mod sidecar_connection;
 
+pub use partial_message::ReadProgress;
 pub use shared::{buffers_per_pool, Dispatcher};
--- a/daemon/src/dispatcher/connections.rs
+++ b/daemon/src/dispatcher/connections.rs
@@ -1,5 +1,6 @@
 //! Events in the life cycle of connections, as reported by the coroutines that serve them.
 
+use super::partial_message::ReadProgress;
 use super::shared::{Dispatcher, DispatcherState};
 use super::sidecar_connection::SidecarConnectionState;
 use crate::ids::ConnectionId;
@@ -36,15 +37,13 @@
         locked.outboxes.closing.remove(&conn);
     }
 
-    /// Records the state of a connection's input after a read: whether a complete frame has ever been received, and
-    /// whether part of a frame has been.
-    pub fn frame_progress(&self, conn: ConnectionId, has_received_frame: bool, has_partial: bool) {
+    /// Records the state of a connection's input after a read.
+    pub fn frame_progress(&self, conn: ConnectionId, progress: ReadProgress) {
         let mut locked = self.lock();
         let DispatcherState { core, outboxes, .. } = &mut *locked;
         let Some(sidecar) = outboxes.sidecars.get_mut(&conn) else { return };
-        sidecar.has_received_frame = has_received_frame;
-        sidecar.partial_since =
-            if has_partial { sidecar.partial_since.or_else(|| Some(now())) } else { None };
+        sidecar.has_received_frame |= progress.completed;
+        sidecar.partial.update(progress, now());
         // Closing starts over, because the input may have been an RPC that has to be answered first.
         if let Some(close_started) = outboxes.closing.get_mut(&conn) {
             *close_started = None;
@@ -52,10 +51,10 @@
         }
     }
 
-    /// Records whether part of a reply has been received on an upstream link.
-    pub fn reply_progress(&self, link: UpstreamLinkId, has_partial: bool) {
+    /// Records the state of an upstream link's input after a read.
+    pub fn reply_progress(&self, link: UpstreamLinkId, progress: ReadProgress) {
         if let Some(link) = self.lock().outboxes.upstream.get_mut(link.0) {
-            link.partial_since = if has_partial { link.partial_since.or_else(|| Some(now())) } else { None };
+            link.partial.update(progress, now());
         }
     }
 
--- a/daemon/src/dispatcher/eviction.rs
+++ b/daemon/src/dispatcher/eviction.rs
@@ -108,8 +108,8 @@
 fn inspect_connections(core: &Core, outboxes: &mut Outboxes, now: Us) -> SweepFindings {
     let mut found = SweepFindings::default();
     for (conn, sidecar) in &mut outboxes.sidecars {
-        if sidecar.partial_since.is_some_and(|since| since + PARTIAL_FRAME_TIMEOUT_US < now) {
-            sidecar.partial_since = None;
+        if sidecar.partial.has_timed_out(PARTIAL_FRAME_TIMEOUT_US, now) {
+            sidecar.partial.clear();
             found.partial.push(*conn);
         } else if !sidecar.has_received_frame && sidecar.opened_at + FIRST_FRAME_TIMEOUT_US < now {
             found.silent.push(*conn);
@@ -177,8 +177,8 @@
     for id in (0..outboxes.upstream.len()).map(UpstreamLinkId) {
         let Some(link) = outboxes.upstream.get_mut(id.0) else { continue };
         let last_used = link.out.last_used();
-        if link.partial_since.is_some_and(|since| since + PARTIAL_REPLY_TIMEOUT_US < now) {
-            link.partial_since = None;
+        if link.partial.has_timed_out(PARTIAL_REPLY_TIMEOUT_US, now) {
+            link.partial.clear();
             core.stats_mut().upstream_protocol_errors += 1;
             warn!(outboxes.log, "upstream link failed; reconnecting"; "why" => "incomplete reply timed out");
             link.out.close_now();
--- a/daemon/src/dispatcher/outboxes.rs
+++ b/daemon/src/dispatcher/outboxes.rs
@@ -1,5 +1,6 @@
 //! Outboxes of all connections, and the graceful closing of sidecar connections.
 
+use super::partial_message::PartialMessage;
 use super::sidecar_connection::SidecarConnectionState;
 use crate::core::Core;
 use crate::ids::{ConnectionId, SidecarStream};
@@ -37,8 +38,8 @@
 pub(super) struct UpstreamLinkState {
     /// The bytes to be written to it.
     pub(super) out: Outbox,
-    /// The time since which an incomplete reply has been pending.
-    pub(super) partial_since: Option<Us>,
+    /// The part of a reply that has been received.
+    pub(super) partial: PartialMessage,
 }
 
 /// Outboxes of all connections, through which the core sends its messages.
@@ -82,7 +83,7 @@
         agent: Outbox, upstream: Vec<Outbox>, max_connections: usize, idle_timeout: Us,
         listener: ListenerHandle, log: Logger,
     ) -> Outboxes {
-        let link = |out| UpstreamLinkState { out, partial_since: None };
+        let link = |out| UpstreamLinkState { out, partial: PartialMessage::default() };
         Outboxes {
             sidecars: BTreeMap::new(),
             closing: BTreeMap::new(),
@@ -108,7 +109,7 @@
         for (conn, close_started) in self.closing.iter_mut().filter(|(_, since)| since.is_none()) {
             let Some(sidecar) = self.sidecars.get(conn) else { continue };
             // A partial frame may still be completed, unless the slot is needed.
-            let may_close = sidecar.evicted || sidecar.partial_since.is_none();
+            let may_close = sidecar.evicted || !sidecar.partial.is_pending();
             if !may_close || core.pending_answers_on(*conn) > 0 {
                 continue;
             }
@@ -132,7 +133,7 @@
         if self.closing.insert(conn, None).is_some() {
             return false;
         }
-        sidecar.partial_since = None;
+        sidecar.partial.clear();
         if self.close_log_limit.allows_line(now()) {
             info!(self.log, "closing a sidecar connection"; "why" => reason);
         }
--- a/daemon/src/dispatcher/sidecar_connection.rs
+++ b/daemon/src/dispatcher/sidecar_connection.rs
@@ -1,5 +1,6 @@
 //! State of a sidecar connection, and its usefulness while it is idle.
 
+use super::partial_message::PartialMessage;
 use asterrill::Us;
 use asterrill_net::Outbox;
 
@@ -16,8 +17,8 @@
     pub(super) opened_at: Us,
     /// Whether a complete frame has been received on it.
     pub(super) has_received_frame: bool,
-    /// The time since which an incomplete frame has been pending.
-    pub(super) partial_since: Option<Us>,
+    /// The part of a frame that has been received.
+    pub(super) partial: PartialMessage,
     /// The time at which the sidecar was asked to close it.
     pub(super) goaway_sent_at: Option<Us>,
     /// Whether it is being closed to free its slot for another connection.
@@ -44,7 +45,7 @@
             out,
             opened_at: now,
             has_received_frame: false,
-            partial_since: None,
+            partial: PartialMessage::default(),
             goaway_sent_at: None,
             evicted: false,
         }
