Attempts of the laboratory have ids of their own in all loads

Cause: its pairs of tenants draw their ids from the same seed in each phase. Since ids that ran are remembered, the second phase's were aborted, which the check takes for unknown tenants.

Change: all loads take their ids from one function, which adds the number of the attempt. Arrivals, methods, tenants, bodies, bounds and checks are the same.

--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -1,6 +1,6 @@
 //! Simulated sidecars: framed RPCs at given rates over a few connections, with the outcome of each.
 
-use crate::sidecar::{read_frame, RpcHeader, ANSWER, DRAINING, MAX_STREAMS, OK, REJECTED};
+use crate::sidecar::{new_trace, read_frame, RpcHeader, ANSWER, DRAINING, MAX_STREAMS, OK, REJECTED};
 use crate::sync::lock;
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -225,9 +225,6 @@
     connections: &mut [Connection], methods: &[MethodLoad], rates: &[RateSpan], seed: u64, stop: &AtomicBool,
     shared: &Shared,
 ) {
-    // Loads with one seed are equal but for their ids, which are never repeated.
-    static LOADS: AtomicU64 = AtomicU64::new(0);
-    let load_number = LOADS.fetch_add(1, Ordering::Relaxed);
     let mut rng = StdRng::seed_from_u64(seed);
     let (mut send_at, mut number) = (Instant::now(), 0_u64);
     for RateSpan { duration, rate } in rates {
@@ -250,7 +247,7 @@
             let body = format!("rpc {seed} {number}").into_bytes();
             let header = RpcHeader {
                 method: method.method,
-                trace: rng.random::<u64>().wrapping_add(load_number),
+                trace: new_trace(&mut rng),
                 caller: (index % CALLERS) as u64,
                 timeout: method.timeout,
                 tenant: None,
--- a/lab/src/scale/test_bed/load.rs
+++ b/lab/src/scale/test_bed/load.rs
@@ -6,7 +6,7 @@
 use super::settings::{method_name, tenant_name};
 use super::{health, version_order};
 use crate::report::ScenarioError;
-use crate::sidecar::{read_frame, ANSWER, MAX_STREAMS, OK, REJECTED};
+use crate::sidecar::{new_trace, read_frame, ANSWER, MAX_STREAMS, OK, REJECTED};
 use crate::sync::lock;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -169,7 +169,8 @@
         let tenant = (profile.tenants > 0).then(|| tenant_name(rng.random_range(0..profile.tenants)));
         let caller = rng.random_range(1..=profile.callers.max(1)) as u64;
         let body = format!("rpc {number}");
-        let bytes = encode_rpc(stream, &method, tenant.as_deref(), caller, rng.random(), body.as_bytes());
+        let bytes =
+            encode_rpc(stream, &method, tenant.as_deref(), caller, new_trace(&mut rng), body.as_bytes());
         let phase = ledger.phase();
         lock(&ledger.phases[phase]).sent += 1;
         lock(&connection.in_flight).insert(stream, InFlight { number, sent: Instant::now(), phase });
--- a/lab/src/scale/test_bed/version_order.rs
+++ b/lab/src/scale/test_bed/version_order.rs
@@ -8,7 +8,7 @@
 use super::ledger::Ledger;
 use super::rpc::{encode_rpc, RPC_TIMEOUT};
 use super::settings::{method_name, sentinel_tenants, tenant_name};
-use crate::sidecar::{read_frame, ANSWER, OK, REJECTED};
+use crate::sidecar::{new_trace, read_frame, ANSWER, OK, REJECTED};
 use crate::sync::lock;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -32,8 +32,15 @@
     let mut rng = StdRng::seed_from_u64(seed);
     // The first RPC is valid, because a connection on which only unknown tenants call is closed.
     let (mut stream, mut last_pair, mut known_before) = (1_u32, 0, false);
-    to.write_all(&encode_rpc(stream, &method_name(0), Some(&tenant_name(0)), 1, rng.random(), b"pair 0"))
-        .ok()?;
+    to.write_all(&encode_rpc(
+        stream,
+        &method_name(0),
+        Some(&tenant_name(0)),
+        1,
+        new_trace(&mut rng),
+        b"pair 0",
+    ))
+    .ok()?;
     while read_frame(&mut to)?.kind != ANSWER {}
     while !ledger.is_stopped() {
         let pair = ledger.sentinel_pair.load(Ordering::Acquire);
@@ -66,7 +73,7 @@
     }
     let mut bytes = Vec::new();
     for (n, tenant) in tenants.iter().enumerate() {
-        let (trace, stream) = (rng.random(), stream + 1 + n as u32);
+        let (trace, stream) = (new_trace(rng), stream + 1 + n as u32);
         let body = format!("pair {stream}");
         bytes.extend(encode_rpc(stream, &method_name(0), Some(tenant), 1, trace, body.as_bytes()));
     }
--- a/lab/src/sidecar.rs
+++ b/lab/src/sidecar.rs
@@ -3,8 +3,11 @@
 //! The codec is independent of `asterrill-protocol`, so that a fault there is not repeated here and is found.
 
 use asterrill::Us;
+use rand::rngs::StdRng;
+use rand::Rng;
 use std::io::Read;
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Type of a frame that carries an RPC.
@@ -76,6 +79,12 @@
     encode_frame(HEALTH_CHECK, stream, &[0])
 }
 
+/// Returns the id of a new attempt. Loads with one seed are equal but for their ids, which are never repeated.
+pub fn new_trace(rng: &mut StdRng) -> u64 {
+    static ATTEMPTS: AtomicU64 = AtomicU64::new(0);
+    rng.random::<u64>().wrapping_add(ATTEMPTS.fetch_add(1, Ordering::Relaxed))
+}
+
 /// Header of an RPC.
 #[derive(Clone, Copy, Debug)]
 pub struct RpcHeader<'a> {
